Answer operators' calls, from counts kept where requests end

- ops.rs listens at `ops` or $GW_OPS, bounded to 16 connections; the oldest gives way once it has had 100 ms, which a true call never needs.
- counts.rs: a request counts when the token that it got on being taken is dropped with its answer's body; an attempt when the link writes its last byte, so one that is later given up counts, and one never written does not.
- Gateway::pool tells the verdict that the choice of server goes by; the share above which no verdict is trusted now stands in servers.rs for both.

Tests: figures after a scripted run, callers that keep 40 idle connections, the module's verdict as it is told. Without the listener the first two fail.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -13,6 +13,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; absent where nobody does.
+    pub ops: Option<SocketAddr>,
     /// The discovery agent.
     pub discovery: SocketAddr,
     /// The shared counter; absent where there is none.
@@ -104,7 +106,11 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
-        Config::read(&serde_json::from_str(&text).map_err(ConfigError::NotJson)?)
+        let mut config = Config::read(&serde_json::from_str(&text).map_err(ConfigError::NotJson)?)?;
+        if let (None, Ok(ops)) = (config.ops, std::env::var("GW_OPS")) {
+            config.ops = Some(ops.parse().map_err(|_| bad("GW_OPS"))?);
+        }
+        Ok(config)
     }
 
     fn read(root: &Value) -> Result<Config, ConfigError> {
@@ -128,6 +134,7 @@
             memory: memory.unwrap_or(64).clamp(16, 65_536) as usize * 1_000_000,
             name: root.get("name").and_then(Value::as_str).unwrap_or("gateway").to_owned(),
             listen: address(root, "listen")?,
+            ops: root.get("ops").map(|_| address(root, "ops")).transpose()?,
             discovery: address(root, "discovery")?,
             counter: root.get("counter").map(|_| address(root, "counter")).transpose()?,
             peer_listen: root.get("peer_listen").map(|_| address(root, "peer_listen")).transpose()?,
--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -2,6 +2,7 @@
 //! Nothing is decided here.
 
 use crate::counter::SharedCounter;
+use crate::counts::{Counts, Taken};
 use crate::discovery::Member;
 use crate::peers::Peers;
 use crate::upstream::{Outgoing, Reply, Slot, Upstream};
@@ -138,6 +139,7 @@
     peers: Option<Rc<Peers>>,
     counter: Option<Rc<SharedCounter>>,
     probe_path: &'static str,
+    counts: Rc<Counts>,
 }
 
 impl Core {
@@ -149,6 +151,7 @@
         peers: Option<Rc<Peers>>,
         counter: Option<Rc<SharedCounter>>,
         reports: bool,
+        counts: Rc<Counts>,
     ) -> Rc<Core> {
         let inner = Inner {
             gateway,
@@ -169,6 +172,7 @@
             peers,
             counter,
             probe_path,
+            counts,
         })
     }
 
@@ -201,14 +205,19 @@
         self.handle(Event::Peer { from, data });
     }
 
-    /// A client's request: its number and where its one answer will arrive. `None` while another with its id
-    /// is open or may still run.
+    /// The figures that operators read.
+    pub fn figures(&self) -> String {
+        self.counts.text(self.inner.borrow().gateway.pool(self.clock.now()))
+    }
+
+    /// A client's request: its number, where its one answer will arrive, and by what it is counted. `None`
+    /// while another with its id is open or may still run.
     pub fn request(
         self: &Rc<Self>,
         call: HeaderValue,
         terms: Terms,
         outgoing: Outgoing,
-    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+    ) -> Option<(RequestId, oneshot::Receiver<Answer>, Taken)> {
         let (sender, receiver) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
         if !inner.open.insert(call.clone()) {
@@ -238,7 +247,7 @@
         // The same time for the module's deadline as for the limit: on a busy machine a second look at the
         // clock can be late by more than the module's margin, and the limit would then come first.
         self.work_from(&mut inner, now);
-        Some((id, receiver))
+        Some((id, receiver, self.counts.taken(class)))
     }
 
     /// The client of a request left.
@@ -356,7 +365,10 @@
         let budget = Duration::from_micros(until - now);
         let send_by = self.clock.instant(send_by);
         let task = tokio::task::spawn_local(async move {
-            let reply = core.upstream.exchange(server, &link, &outgoing, budget, send_by).await;
+            let reply = core
+                .upstream
+                .exchange(server, &link, &outgoing, budget, send_by, Some(&core.counts.tries))
+                .await;
             core.ended(id, attempt, reply);
         });
         held.running = Some(Running { attempt, server, sent: now, slot, task: task.abort_handle() });
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Names;
 use crate::core::{Answer, Core, Terms};
+use crate::counts::{Ending, Taken};
 use crate::upstream::{strip, Outgoing, BODY_MOST};
 use crate::wire::{Framing, Wire, WireIo};
 use bytes::Bytes;
@@ -47,8 +48,12 @@
 /// Where the platform asks whether requests can be served.
 const HEALTH: &str = "/_health";
 
-/// A body that goes out piece by piece: hyper would copy it whole into its buffer, and keep that.
-struct Pieces(Bytes);
+/// A body that goes out piece by piece: hyper would copy it whole into its buffer, and keep that. A request
+/// that was taken ends, and counts, with the body of its answer.
+struct Pieces {
+    data: Bytes,
+    taken: Option<Taken>,
+}
 
 impl Body for Pieces {
     type Data = Bytes;
@@ -58,17 +63,20 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.0.len().min(PIECE);
-        let piece = (piece > 0).then(|| self.0.split_to(piece));
+        let piece = self.data.len().min(PIECE);
+        let piece = (piece > 0).then(|| self.data.split_to(piece));
+        if self.data.is_empty() {
+            self.taken.take();
+        }
         Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.0.is_empty()
+        self.data.is_empty()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.0.len() as u64)
+        SizeHint::with_exact(self.data.len() as u64)
     }
 }
 
@@ -104,7 +112,7 @@
 }
 
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Pieces> {
-    let mut response = Response::new(Pieces(text.into()));
+    let mut response = Response::new(Pieces { data: text.into(), taken: None });
     *response.status_mut() = status;
     response
 }
@@ -254,6 +262,11 @@
         }
     }
 
+    /// Whether clients that come are taken in.
+    pub fn accepting(&self) -> bool {
+        !self.stopping.get()
+    }
+
     /// From now on connections end with their current request, and idle ones end at once.
     pub fn stop(&self) {
         self.stopping.set(true);
@@ -346,7 +359,7 @@
         } else {
             match self.admit(client, request).await {
                 // Where a chunked body ends in the connection's bytes is hyper's to know.
-                Ok(answer) => (reply(answer), chunked),
+                Ok((answer, taken)) => (reply(answer, taken), chunked),
                 Err(fault) => {
                     // What is left of a body is not read, so no further request can be found behind it.
                     let close = !bare || fault == Fault::Framing;
@@ -365,7 +378,11 @@
     }
 
     /// Reads a request whole, hands it to the core and waits for its answer.
-    async fn admit(self: &Rc<Self>, client: &Client, request: Request<Incoming>) -> Result<Answer, Fault> {
+    async fn admit(
+        self: &Rc<Self>,
+        client: &Client,
+        request: Request<Incoming>,
+    ) -> Result<(Answer, Taken), Fault> {
         let (head, body) = request.into_parts();
         // hyper has dropped one of the two headers by now, but not from the bytes as they came.
         let coded = head.headers.contains_key(TRANSFER_ENCODING);
@@ -400,12 +417,12 @@
             None => head.uri,
         };
         let outgoing = Outgoing { method: head.method, uri, headers, body };
-        let (id, answer) = self.core.request(call, terms, outgoing).ok_or(Fault::Repeated)?;
+        let (id, answer, taken) = self.core.request(call, terms, outgoing).ok_or(Fault::Repeated)?;
         client.busy.set(true);
         client.asked.set(true);
         // hyper drops this future when the client closes its connection.
         let _left = Left { core: &self.core, id };
-        Ok(answer.await.unwrap_or(Answer::Failed))
+        Ok((answer.await.unwrap_or(Answer::Failed), taken))
     }
 
     fn terms(&self, method: &Method, headers: &HeaderMap) -> Result<Terms, Fault> {
@@ -494,12 +511,17 @@
     all.next().filter(|_| all.next().is_none()).ok_or(Fault::Header(name))
 }
 
-fn reply(answer: Answer) -> Response<Pieces> {
-    match answer {
+fn reply(answer: Answer, taken: Taken) -> Response<Pieces> {
+    taken.ends(match answer {
+        Answer::Served(_) => Ending::Ok,
+        Answer::Refused(_) => Ending::Shed,
+        Answer::Failed | Answer::Overdue => Ending::Errors,
+    });
+    let mut response = match answer {
         Answer::Served(served) => {
-            let (mut head, body) = served.into_parts();
+            let (mut head, data) = served.into_parts();
             head.version = hyper::Version::HTTP_11;
-            Response::from_parts(head, Pieces(body))
+            Response::from_parts(head, Pieces { data, taken: None })
         }
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
@@ -511,5 +533,7 @@
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         Answer::Overdue => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
-    }
+    };
+    response.body_mut().taken = Some(taken);
+    response
 }
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -67,6 +67,8 @@
 pub struct Link {
     socket: RefCell<Option<(TcpStream, Counter)>>,
     progress: Cell<Progress>,
+    /// Counts what is written whole on it, where that is wanted.
+    written: RefCell<Option<Rc<Cell<u64>>>>,
     /// Requests begun on it. What comes before the second has been written whole is not its answer.
     requests: Cell<u32>,
 }
@@ -77,6 +79,7 @@
         Rc::new(Link {
             socket: RefCell::new(Some((stream, counter))),
             progress: Cell::default(),
+            written: RefCell::default(),
             requests: Cell::new(0),
         })
     }
@@ -87,6 +90,11 @@
         self.progress.set(Progress { body_left: body, ..Progress::default() });
     }
 
+    /// Where the request that begins is counted once its last byte is written, if it is.
+    pub fn count(&self, written: Option<&Rc<Cell<u64>>>) {
+        self.written.replace(written.cloned());
+    }
+
     /// Whether any byte of the request has been written.
     pub fn begun(&self) -> bool {
         self.progress.get().begun
@@ -161,6 +169,9 @@
         if let Poll::Ready(Ok(n)) = &wrote {
             progress.wrote(&data[..*n]);
             self.0.progress.set(progress);
+            if let Some(written) = self.0.written.borrow_mut().take_if(|_| progress.whole()) {
+                written.set(written.get() + 1);
+            }
         }
         wrote
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -3,9 +3,11 @@
 mod config;
 mod core;
 mod counter;
+mod counts;
 mod discovery;
 mod front;
 mod link;
+mod ops;
 mod peers;
 mod upstream;
 mod wire;
@@ -13,8 +15,10 @@
 use crate::config::Config;
 use crate::core::{Clock, Core};
 use crate::counter::SharedCounter;
+use crate::counts::Counts;
 use crate::discovery::Watch;
 use crate::front::Front;
+use crate::ops::Ops;
 use crate::peers::Peers;
 use crate::upstream::Upstream;
 use frostgauge::{Gateway, ListKind, Reports};
@@ -30,8 +34,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout};
 
-/// Descriptors that are neither clients' nor servers': standard streams, event queues, discovery, the counter, peers.
-const SPARE_SOCKETS: usize = 40;
+/// Descriptors that are neither clients' nor servers': standard streams, event queues, discovery, the counter,
+/// peers, operators.
+const SPARE_SOCKETS: usize = 40 + ops::MOST;
 /// The part of the memory that large answers may take on their way through.
 const LARGE_PART: usize = 4;
 /// How long clients may still come after the signal to stop, and how long after the last of them.
@@ -111,7 +116,8 @@
         limit => Duration::from_micros(limit),
     };
     let counter = config.counter.map(|at| Rc::new(SharedCounter::new(at, limit)));
-    let core = Core::new(gateway, clock, Rc::new(upstream), peers.clone(), counter.clone(), reports);
+    let counts = Counts::new(config.names.classes.clone());
+    let core = Core::new(gateway, clock, Rc::new(upstream), peers.clone(), counter.clone(), reports, counts);
     core.servers(ListKind::Cached, config.known.members);
     tokio::task::spawn_local(core.clone().run_timers());
     if let Some(peers) = peers {
@@ -123,9 +129,14 @@
 
     let listener = bound("listen", || TcpListener::bind(config.listen)).await?;
     tokio::task::spawn_local(reread(hangup, agent, counter));
-    let front = Front::new(core, config.settings, config.names, clients, config.most_units);
+    let front = Front::new(core.clone(), config.settings, config.names, clients, config.most_units);
     tokio::task::spawn_local(front.clone().look_over());
     eprintln!("{} listens on {}", config.name, listener.local_addr()?);
+    if let Some(at) = config.ops {
+        let listener = bound("ops", || TcpListener::bind(at)).await?;
+        eprintln!("{} answers operators on {}", config.name, listener.local_addr()?);
+        tokio::task::spawn_local(Ops::new(front.clone(), core).run(listener));
+    }
     tokio::select! {
         () = front.accept(&listener) => {}
         _ = terminate.recv() => {}
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -258,7 +258,8 @@
         Ok(Connection { sender, link, address, opened, idle_since: Instant::now() })
     }
 
-    /// Sends a request once, not later than told, and tells how that ended.
+    /// Sends a request once, not later than told, and tells how that ended. `tries` counts it once it is
+    /// written whole.
     pub async fn exchange(
         &self,
         server: ServerId,
@@ -266,6 +267,7 @@
         out: &Outgoing,
         budget: Duration,
         send_by: Instant,
+        tries: Option<&Rc<Cell<u64>>>,
     ) -> Reply {
         let started = Instant::now();
         while let Some(connection) = self.idle(server) {
@@ -274,7 +276,7 @@
                 sleep(rest).await;
             }
             // Nothing was written to a connection that hyper found closed, so nothing has been sent yet.
-            if let Ok(reply) = self.over(server, connection, slot, out, budget).await {
+            if let Ok(reply) = self.over(server, connection, slot, out, budget, tries).await {
                 return reply;
             }
         }
@@ -284,7 +286,7 @@
             Err(_) => return Reply::bare(Status::Moot),
         };
         let budget = budget.saturating_sub(started.elapsed());
-        let reply = self.over(server, connection, slot, out, budget).await;
+        let reply = self.over(server, connection, slot, out, budget, tries).await;
         reply.unwrap_or_else(|Unwritten| Reply::bare(Status::ConnectFailed))
     }
 
@@ -295,6 +297,7 @@
         slot: &Slot,
         out: &Outgoing,
         budget: Duration,
+        tries: Option<&Rc<Cell<u64>>>,
     ) -> Result<Reply, Unwritten> {
         let mut request = Request::new(Full::new(out.body.clone()));
         *request.method_mut() = out.method.clone();
@@ -303,6 +306,7 @@
         request.headers_mut().insert(BUDGET, HeaderValue::from(budget.as_millis() as u64));
         slot.0.replace(Some(connection.link.clone()));
         connection.link.begin(out.body.len());
+        connection.link.count(tries);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(_) => {
@@ -385,7 +389,7 @@
         };
         let slot = Slot::default();
         let Ok(reply) =
-            timeout(limit, self.exchange(server, &slot, &probe, limit, Instant::now() + limit)).await
+            timeout(limit, self.exchange(server, &slot, &probe, limit, Instant::now() + limit, None)).await
         else {
             slot.close();
             return (Status::Timeout, None);
@@ -466,7 +470,7 @@
             body: bytes::Bytes::new(),
         };
         let slot = Slot::default();
-        let sent = upstream.exchange(ServerId(1), &slot, &out, second, Instant::now() + second);
+        let sent = upstream.exchange(ServerId(1), &slot, &out, second, Instant::now() + second, None);
         assert_eq!(runtime.block_on(sent).status, Status::Moot);
     }
 }
--- a/gateway/tests/loopback/main.rs
+++ b/gateway/tests/loopback/main.rs
@@ -4,5 +4,6 @@
 mod counter;
 mod discovery;
 mod lifecycle;
+mod ops;
 mod rig;
 mod servers;
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -329,6 +329,12 @@
     command.env("GW_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
+/// One call of the operators.
+pub fn operator(at: SocketAddr, path: &str) -> Message {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+    Client::connect(at).expect("operators are not listened to").call(&request)
+}
+
 /// A running gateway.
 pub struct Gateway {
     child: Child,
@@ -385,6 +391,11 @@
         (Gateway::start(&config(&agent, &known)), agent)
     }
 
+    /// Where operators call, for one whose configuration says so.
+    pub fn ops(&self) -> SocketAddr {
+        self.logged("answers operators on").trim().rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(self.address).expect("the gateway takes no connection")
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 
 use crate::api::*;
 use crate::parts::{fade, read, seconds, write, Dice, Line, Rate, LINES};
-use crate::servers::{Patience, Server, REPORT_S};
+use crate::servers::{ejected, Patience, Server, REPORT_S};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // Pacing.
@@ -48,7 +48,6 @@
 const CHOICES: usize = 3; // servers looked at when many gateways share the fleet, so that they do not herd
 const START_ITEM_US: f64 = 40_000.0; // µs; time per request held before any was seen; soon replaced
 const ITEM_GAIN: f64 = 0.1; // weight of one answer in a server's time per request held
-const EJECT_SHARE: f64 = 0.5; // when more than this share looks bad, no verdict is trusted
 const FULL: (Micros, u32) = (100_000, 6); // µs; a server full to a plan is left alone; doublings
 const CROSS_ZONE: f64 = 1.1; // a server elsewhere must look this much better
 const LAST_RESORT: f64 = 10.0; // a server that just turned this or any request away comes last
@@ -394,8 +393,7 @@
         }
         let looks = looks + order.len() - draws;
         let (s, r) = (&self.settings, self.requests.get(&id)?);
-        let out = ready.iter().filter(|x| self.servers[x].ejected > now).count() as f64;
-        let trust = out <= EJECT_SHARE * ready.len() as f64;
+        let trust = ejected(&self.servers, now) > 0;
         let ran = r.attempts.iter().find(|a| a.may_have_run || a.open);
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|x| (x.entry.zone, x.entry.cell));
         let (mut best, mut seen): (Option<(ServerId, f64, f64)>, usize) = (None, 0);
@@ -833,6 +831,12 @@
         out.push(Action::Timer { at: now + ROUND, timer: TURN });
     }
 
+    /// How many servers are listed, and how many of them no new work goes to for how they answered.
+    pub fn pool(&self, now: Micros) -> (usize, usize) {
+        let listed = self.servers.values().filter(|x| x.entry.state != State::Gone).count();
+        (listed, ejected(&self.servers, now))
+    }
+
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.begun, true) {
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -4,6 +4,7 @@
 use crate::parts::fade;
 use std::collections::BTreeMap;
 
+const EJECT_SHARE: f64 = 0.5; // when more than this share looks bad, no verdict is trusted
 const OK_GAIN: f64 = 0.1; // weight of one outcome in a server's success score
 const OK_EJECT: f64 = 0.8; // score below which a server is ejected: three errors in quick succession
 const OK_CLEAR: f64 = 0.9; // a score that clears the record of past ejections
@@ -70,6 +71,17 @@
     }
 }
 
+/// How many of the servers that take work are avoided for their verdicts; none while too many look bad.
+pub(crate) fn ejected(servers: &BTreeMap<ServerId, Server>, now: Micros) -> usize {
+    let ready = || servers.values().filter(|x| x.entry.state == State::Ready);
+    let out = ready().filter(|x| x.ejected > now).count();
+    if out as f64 <= EJECT_SHARE * ready().count() as f64 {
+        out
+    } else {
+        0
+    }
+}
+
 /// How long attempts of each class are waited for: a running quantile of the times to answer. A connection that
 /// fell silent holds its request no longer than a slow answer would; where many answers are slow it rises.
 #[derive(Default)]
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -77,11 +77,24 @@
     assert!(open.contains(&ServerId(1)), "tried again: {open:?}");
 }
 
+/// What operators are told is the verdict that the choice of server goes by.
+#[test]
+fn an_ejected_server_is_told_as_long_as_it_is_avoided() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0), entry(3, 0)]);
+    rig.event(delta(entry(3, 0), State::Draining));
+    let dead = |s| if s == ServerId(1) { Status::ConnectFailed } else { Status::Ok };
+    (0..10).for_each(|k| drop(rig.play(100 + k, dead)));
+    assert_eq!(rig.gateway.pool(rig.now), (3, 1));
+    rig.run_to(rig.now + 20 * S);
+    assert_eq!(rig.gateway.pool(rig.now), (3, 0));
+}
+
 #[test]
 fn when_most_servers_look_bad_no_verdict_is_trusted() {
     let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0)]);
     for k in 0..40 {
         rig.play(100 + k, |_| Status::Reset);
     }
+    assert_eq!(rig.gateway.pool(rig.now), (2, 0), "what is not avoided is not told as such");
     assert!(!rig.play(500, |_| Status::Ok).is_empty());
 }
