--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -29,7 +29,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -45,6 +45,8 @@
 const LISTEN_MOST: Duration = Duration::from_millis(800);
 /// By then the gateway ends, whatever is left: before it would be killed.
 const STOP_MOST: Duration = Duration::from_millis(3_500);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// A restarted gateway may find its address in use for a moment.
 const BIND_FOR: Duration = Duration::from_secs(2);
 
@@ -127,7 +129,7 @@
     let watch = Watch::new(agents, config.names.clone(), config.known.index);
     tokio::task::spawn_local(watch.run(core.clone()));
 
-    let listener = bound("listen", || TcpListener::bind(config.listen)).await?;
+    let listener = bound("listen", || async { listen(config.listen) }).await?;
     tokio::task::spawn_local(reread(hangup, agent, counter));
     let front = Front::new(core.clone(), config.settings, config.names, clients, config.most_units);
     tokio::task::spawn_local(front.clone().look_over());
@@ -147,6 +149,15 @@
     Ok(())
 }
 
+/// A listener for clients. A process that is to replace this one listens beside it, at the same address.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Reads the configuration again at every SIGHUP, for as long as the gateway lives. Another discovery agent and
 /// another address of the counter are taken up; the rest of the file holds from the next start on.
 async fn reread(mut hangup: Signal, agent: watch::Sender<SocketAddr>, counter: Option<Rc<SharedCounter>>) {
--- a/gateway/tests/loopback/lifecycle.rs
+++ b/gateway/tests/loopback/lifecycle.rs
@@ -84,3 +84,23 @@
     gateway.terminate();
     assert!(gateway.wait().success());
 }
+
+/// A new process starts beside the old one, which then sees its clients out; somebody takes every request.
+#[test]
+fn a_second_process_takes_the_place_of_the_first() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let (old, agent) = Gateway::before(&[("s-1", &server, "room-a")]);
+    let mut kept = old.client();
+    assert_eq!(kept.call(&status()).status(), 200);
+    let mut beside = config(&agent, &[entry("s-1", server.address, "room-a", "ready")]);
+    beside["listen"] = serde_json::json!(old.address.to_string());
+    let new = Gateway::start(&beside);
+    for _ in 0..20 {
+        assert_eq!(new.client().call(&status()).status(), 200);
+    }
+    old.terminate();
+    assert!(old.wait().success());
+    for _ in 0..20 {
+        assert_eq!(new.client().call(&status()).status(), 200);
+    }
+}
