Pass on bodies past 64 KiB as they come, both ways, with backpressure

The bodies' state lives in stream.rs; a link knows a chunked body whole by its last chunk, and takes an answer to a long body before all of it has gone; a connection is not idle while an answer passes over it, and not stalled while its client takes anything. A client turned away in the midst of a long body is read out for up to 6 s, so that its answer is not reset.

Tests (size.rs): both ways, the second half is given only once the first has come; a client that takes nothing blocks its server; broken and spent bodies.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -5,8 +5,8 @@
 use crate::counts::{Counts, Taken};
 use crate::discovery::Member;
 use crate::peers::Peers;
+use crate::stream::Answered;
 use crate::upstream::{Outgoing, Reply, Slot, Upstream};
-use bytes::Bytes;
 use frostgauge::{
     Action, CustomerId, Event, Gateway, ListKind, Micros, RequestId, ServerId, Status, TimerId,
 };
@@ -54,7 +54,7 @@
 /// The final answer of a request.
 pub enum Answer {
     /// A server's answer, passed on.
-    Served(Response<Bytes>),
+    Served(Response<Answered>),
     /// Refused: trying again is harmless, after a time if one is advised.
     Refused(Micros),
     /// Failed: nothing is promised.
@@ -102,6 +102,8 @@
     outgoing: Rc<Outgoing>,
     limit: Micros,
     attempts: u32,
+    /// The module knows that its body cannot be sent again.
+    spent: bool,
     running: Option<Running>,
     /// How long servers drop repeats, for a keyed class.
     window: Option<Micros>,
@@ -235,6 +237,7 @@
             outgoing,
             limit,
             attempts: 0,
+            spent: false,
             running: None,
             window,
             ran: None,
@@ -400,8 +403,13 @@
 
     fn book(&self, inner: &mut Inner, id: RequestId, running: Running, reply: Reply) {
         let never = matches!(reply.status, Status::Full | Status::ConnectFailed | Status::Moot);
-        if let Some(held) = inner.requests.get_mut(&id).filter(|_| !never) {
-            held.ran.get_or_insert(running.sent);
+        if let Some(held) = inner.requests.get_mut(&id) {
+            if !never {
+                held.ran.get_or_insert(running.sent);
+            }
+            if held.outgoing.body.spent() && !std::mem::replace(&mut held.spent, true) {
+                inner.events.push_back(Event::Spent { id });
+            }
         }
         let closed = inner.requests.get(&id).is_none_or(|h| h.answer.is_none());
         let took = self.clock.now().saturating_sub(running.sent);
--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -88,7 +88,7 @@
                 },
             };
             let link = connection.link.clone();
-            link.begin(0);
+            link.begin(Some(0));
             let count = match timeout_at(until.into(), self.over(connection, &path)).await {
                 Ok(Some(count)) => return count,
                 Ok(None) if used && !link.begun() => continue,
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -3,11 +3,11 @@
 use crate::config::Names;
 use crate::core::{Answer, Core, Terms};
 use crate::counts::{Ending, Taken};
-use crate::upstream::{strip, Outgoing, BODY_MOST};
+use crate::stream::{self, Answered, Cut, Upload, HELD_MOST};
+use crate::upstream::{strip, Outgoing};
 use crate::wire::{Framing, Wire, WireIo};
 use bytes::Bytes;
 use frostgauge::{CustomerId, Effect, RequestId, Settings};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, EXPECT, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
@@ -19,16 +19,19 @@
 use std::convert::Infallible;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::{sleep, timeout, timeout_at};
 
 /// hyper's buffer for one connection, at most.
 const BUFFER_MOST: usize = 32 << 10;
-/// How much of an answer is handed to hyper at a time.
-const PIECE: usize = 16 << 10;
+/// Largest body of a request.
+const UPLOAD_MOST: u64 = 32 << 20;
+/// Bodies up to here need no room of their own: hyper's buffer has held them already.
+const SMALL: u64 = 4 << 10;
 /// The pause after an accept error that may last, such as having no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often accept errors are worth a line of the log.
@@ -51,32 +54,42 @@
 /// A body that goes out piece by piece: hyper would copy it whole into its buffer, and keep that. A request
 /// that was taken ends, and counts, with the body of its answer.
 struct Pieces {
-    data: Bytes,
+    body: Answered,
     taken: Option<Taken>,
+    /// The client that it goes to, if it may take a while.
+    client: Option<Rc<Client>>,
 }
 
 impl Body for Pieces {
     type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.data.len().min(PIECE);
-        let piece = (piece > 0).then(|| self.data.split_to(piece));
-        if self.data.is_empty() {
+    type Error = Cut;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let piece = ready!(self.body.poll_piece(cx));
+        if let (Some(Err(_)), Some(taken)) = (&piece, &self.taken) {
+            taken.ends(Ending::Errors);
+        }
+        if self.body.is_over() {
             self.taken.take();
         }
-        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_empty()
+        self.body.is_over()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.data.len() as u64)
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        if let Some(client) = &self.client {
+            client.passing.set(false);
+            client.since.set(Instant::now());
+        }
     }
 }
 
@@ -112,7 +125,8 @@
 }
 
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Pieces> {
-    let mut response = Response::new(Pieces { data: text.into(), taken: None });
+    let mut response =
+        Response::new(Pieces { body: Answered::Whole(text.into()), taken: None, client: None });
     *response.status_mut() = status;
     response
 }
@@ -121,6 +135,8 @@
     wire: Rc<Wire>,
     /// A request is in work.
     busy: Cell<bool>,
+    /// An answer is passed on to it as it comes.
+    passing: Cell<bool>,
     /// A request was taken up at some time.
     asked: Cell<bool>,
     /// Since when no request is in work.
@@ -138,12 +154,12 @@
 impl Client {
     /// Whether nothing of an earlier request is left to do.
     fn idle(&self) -> bool {
-        !self.busy.get() && !self.wire.answering()
+        !self.busy.get() && !self.passing.get() && !self.wire.answering()
     }
 
     /// Whether it takes no more of its answer.
     fn stalled(&self) -> bool {
-        !self.busy.get() && self.wire.answering() && self.since.get().elapsed() > IDLE_MOST
+        !self.busy.get() && self.wire.answering() && self.wire.wrote().elapsed() > IDLE_MOST
     }
 
     /// Whether it has had its time: one that has not brought a request whole, or one idle for long.
@@ -175,6 +191,8 @@
     names: Names,
     most: usize,
     most_units: f64,
+    /// Room for what is held of clients' bodies, in KiB.
+    room: Arc<Semaphore>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     accepted: Cell<Instant>,
@@ -184,10 +202,19 @@
 }
 
 impl Front {
-    /// A front that takes in at most so many connections, and requests of at most so many units.
-    pub fn new(core: Rc<Core>, settings: Settings, names: Names, most: usize, most_units: f64) -> Rc<Front> {
+    /// A front that takes in at most so many connections, requests of at most so many units, and holds at most
+    /// so much of their bodies.
+    pub fn new(
+        core: Rc<Core>,
+        settings: Settings,
+        names: Names,
+        most: usize,
+        most_units: f64,
+        room: usize,
+    ) -> Rc<Front> {
         Rc::new(Front {
             most_units,
+            room: Arc::new(Semaphore::new(room.max(HELD_MOST) >> 10)),
             core,
             settings,
             names,
@@ -300,6 +327,7 @@
         let client = Rc::new(Client {
             wire: Wire::new(stream),
             busy: Cell::new(false),
+            passing: Cell::new(false),
             asked: Cell::new(false),
             since: Cell::new(Instant::now()),
             leaving: Cell::new(false),
@@ -349,7 +377,7 @@
         }
     }
 
-    async fn respond(self: &Rc<Self>, client: &Client, request: Request<Incoming>) -> Response<Pieces> {
+    async fn respond(self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>) -> Response<Pieces> {
         let (length, chunked) =
             (request.body().size_hint().exact(), request.body().size_hint().exact().is_none());
         let bare = request.body().is_end_stream();
@@ -358,8 +386,12 @@
             (plain(StatusCode::OK, ""), !bare)
         } else {
             match self.admit(client, request).await {
-                // Where a chunked body ends in the connection's bytes is hyper's to know.
-                Ok((answer, taken)) => (reply(answer, taken), chunked),
+                Ok((answer, taken, upload)) => {
+                    // What is left of a body that nobody needs any more is read, but not as a request.
+                    client.faulty.set(!upload.read_out());
+                    // Where a chunked body ends in the connection's bytes is hyper's to know.
+                    (reply(answer, taken), chunked || !upload.read_out())
+                }
                 Err(fault) => {
                     // What is left of a body is not read, so no further request can be found behind it.
                     let close = !bare || fault == Fault::Framing;
@@ -368,6 +400,10 @@
                 }
             }
         };
+        if let Answered::Passing(_) = response.body().body {
+            client.passing.set(true);
+            response.body_mut().client = Some(client.clone());
+        }
         client.busy.set(false);
         client.since.set(Instant::now());
         client.wire.next(length.unwrap_or(0) as usize);
@@ -382,7 +418,7 @@
         self: &Rc<Self>,
         client: &Client,
         request: Request<Incoming>,
-    ) -> Result<(Answer, Taken), Fault> {
+    ) -> Result<(Answer, Taken, Rc<Upload>), Fault> {
         let (head, body) = request.into_parts();
         // hyper has dropped one of the two headers by now, but not from the bytes as they came.
         let coded = head.headers.contains_key(TRANSFER_ENCODING);
@@ -392,22 +428,20 @@
             _ => {}
         }
         let terms = self.terms(&head.method, &head.headers)?;
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|n| n > UPLOAD_MOST) {
             return Err(Fault::TooLarge);
         }
         let body = if body.is_end_stream() {
-            Bytes::new()
+            Upload::none()
         } else {
-            let whole = timeout_at(client.whole_by().into(), Limited::new(body, BODY_MOST).collect()).await;
-            match whole.map_err(|_| Fault::Body)? {
-                Ok(body) => body.to_bytes(),
-                Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(Fault::TooLarge),
-                Err(_) => return Err(Fault::Body),
-            }
+            let read = timeout_at(client.whole_by().into(), self.upload(body)).await;
+            read.map_err(|_| Fault::Body)?.ok_or(Fault::Body)?
         };
-        if head.method == Method::GET && !body.is_empty() {
+        if head.method == Method::GET && body.length() != Some(0) {
             return Err(Fault::Header("content-length"));
         }
+        let body = Rc::new(body);
         let call = one(&head.headers, "x-call-id")?.clone();
         let mut headers = head.headers;
         strip(&mut headers);
@@ -416,13 +450,25 @@
             Some(path) => Uri::from(path.clone()),
             None => head.uri,
         };
-        let outgoing = Outgoing { method: head.method, uri, headers, body };
+        let outgoing = Outgoing { method: head.method, uri, headers, body: body.clone() };
         let (id, answer, taken) = self.core.request(call, terms, outgoing).ok_or(Fault::Repeated)?;
         client.busy.set(true);
         client.asked.set(true);
         // hyper drops this future when the client closes its connection.
         let _left = Left { core: &self.core, id };
-        Ok((answer.await.unwrap_or(Answer::Failed), taken))
+        Ok((answer.await.unwrap_or(Answer::Failed), taken, body))
+    }
+
+    /// Reads a body whole if it is short, or else as much of it as is held. It waits for room to do so.
+    async fn upload(&self, body: Incoming) -> Option<Upload> {
+        let length = body.size_hint().exact();
+        let held = length.unwrap_or(HELD_MOST as u64).min(HELD_MOST as u64);
+        let room = match held {
+            0..=SMALL => None,
+            _ => Some(self.room.clone().acquire_many_owned(held.div_ceil(1 << 10) as u32).await.ok()?),
+        };
+        let (head, rest) = stream::begin(body).await.ok()?;
+        Some(Upload::new(head, rest, length, room))
     }
 
     fn terms(&self, method: &Method, headers: &HeaderMap) -> Result<Terms, Fault> {
@@ -519,9 +565,9 @@
     });
     let mut response = match answer {
         Answer::Served(served) => {
-            let (mut head, data) = served.into_parts();
+            let (mut head, body) = served.into_parts();
             head.version = hyper::Version::HTTP_11;
-            Response::from_parts(head, Pieces { data, taken: None })
+            Response::from_parts(head, Pieces { body, taken: None, client: None })
         }
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused\n");
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -1,6 +1,7 @@
 //! One TCP connection to a server, closable at once by whoever gives up on it, that knows whether a request
 //! has been written whole.
 
+use crate::stream::HELD_MOST;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -9,8 +10,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Most bytes of one answer, with its head and whatever comes before it.
-const ANSWER_MOST: usize = 2 << 20;
+/// Most bytes before an answer's head is whole.
+const HEAD_MOST: usize = 256 << 10;
+/// What ends a head, and the last chunk of a body.
+const END: &[u8] = b"\r\n\r\n";
 
 /// How much of a request has been written: nothing tells a server that a request is whole before its last
 /// byte, so until then it cannot have run.
@@ -19,30 +22,74 @@
     /// How much of the empty line that ends the head was just seen.
     matched: usize,
     head_done: bool,
-    body_left: usize,
+    body: BodyLeft,
     begun: bool,
     /// Bytes read since it was to be written.
     read: usize,
+    /// The head of its answer was read.
+    heard: bool,
+}
+
+/// What is still to be written of a body.
+#[derive(Clone, Copy)]
+enum BodyLeft {
+    /// So many bytes.
+    Known(u64),
+    /// Chunks, the last of which follows once nothing more is handed in.
+    Chunks { ended: bool },
+}
+
+impl Default for BodyLeft {
+    fn default() -> BodyLeft {
+        BodyLeft::Known(0)
+    }
 }
 
 impl Progress {
     fn wrote(&mut self, mut data: &[u8]) {
-        const END: &[u8] = b"\r\n\r\n";
         self.begun |= !data.is_empty();
         while let Some((byte, rest)) = data.split_first().filter(|_| !self.head_done) {
-            self.matched = match *byte {
-                b if b == END[self.matched] => self.matched + 1,
-                b'\r' => 1,
-                _ => 0,
-            };
+            self.follow(*byte);
             self.head_done = self.matched == END.len();
             data = rest;
         }
-        self.body_left = self.body_left.saturating_sub(data.len());
+        match &mut self.body {
+            BodyLeft::Known(left) => *left = left.saturating_sub(data.len() as u64),
+            BodyLeft::Chunks { .. } => {
+                // Only the last bytes can be the end of the last chunk.
+                let skipped = data.len().saturating_sub(END.len());
+                if skipped > 0 {
+                    self.matched = 0;
+                }
+                data[skipped..].iter().for_each(|byte| self.follow(*byte));
+            }
+        }
+    }
+
+    fn follow(&mut self, byte: u8) {
+        let at = self.matched % END.len();
+        self.matched = match byte {
+            b if b == END[at] => at + 1,
+            b'\r' => 1,
+            _ => 0,
+        };
     }
 
     fn whole(&self) -> bool {
-        self.head_done && self.body_left == 0
+        self.head_done
+            && match self.body {
+                BodyLeft::Known(left) => left == 0,
+                BodyLeft::Chunks { ended } => ended && self.matched == END.len(),
+            }
+    }
+
+    /// Whether what is read now can be its answer. One whose body is long may be turned away before all of it
+    /// has gone.
+    fn due(&self) -> bool {
+        match self.body {
+            BodyLeft::Known(left) if left <= HELD_MOST as u64 => self.whole(),
+            _ => self.head_done,
+        }
     }
 }
 
@@ -84,10 +131,31 @@
         })
     }
 
-    /// A request with a body of so many bytes is about to be written.
-    pub fn begin(&self, body: usize) {
+    /// A request with a body of so many bytes, if that is known, is about to be written.
+    pub fn begin(&self, body: Option<u64>) {
         self.requests.set(self.requests.get() + 1);
-        self.progress.set(Progress { body_left: body, ..Progress::default() });
+        let body = body.map_or(BodyLeft::Chunks { ended: false }, BodyLeft::Known);
+        self.progress.set(Progress { body, ..Progress::default() });
+    }
+
+    /// All of the body was handed in.
+    pub fn body_ended(&self) {
+        self.change(|progress| {
+            if let BodyLeft::Chunks { ended } = &mut progress.body {
+                *ended = true;
+            }
+        });
+    }
+
+    /// The head of the answer was read; its body may be as long as it likes.
+    pub fn heard(&self) {
+        self.change(|progress| progress.heard = true);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Progress)) {
+        let mut progress = self.progress.get();
+        change(&mut progress);
+        self.progress.set(progress);
     }
 
     /// Where the request that begins is counted once its last byte is written, if it is.
@@ -146,11 +214,10 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = self.0.poll(|stream| stream.poll_read(cx, buf));
-        let mut progress = self.0.progress.get();
-        progress.read += buf.filled().len() - before;
-        self.0.progress.set(progress);
-        let early = progress.read > 0 && !progress.whole() && self.0.requests.get() > 1;
-        if early || progress.read > ANSWER_MOST {
+        self.0.change(|progress| progress.read += buf.filled().len() - before);
+        let progress = self.0.progress.get();
+        let early = progress.read > 0 && !progress.due() && self.0.requests.get() > 1;
+        if early || progress.read > HEAD_MOST && !progress.heard {
             return self.0.spoilt();
         }
         read
@@ -187,7 +254,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Counter, Link, LinkIo, Progress};
+    use super::{BodyLeft, Counter, Link, LinkIo, Progress};
     use std::io::Write;
     use std::rc::Rc;
     use tokio::io::AsyncWriteExt;
@@ -198,9 +265,23 @@
     fn a_request_is_whole_only_with_its_last_byte() {
         let text = b"POST / HTTP/1.1\r\nA: b\r\r\n\r\n\r\nxyz";
         for cut in 0..text.len() {
-            let mut progress = Progress { body_left: 5, ..Progress::default() };
+            let mut progress = Progress { body: BodyLeft::Known(5), ..Progress::default() };
+            progress.wrote(&text[..cut]);
+            assert!(!progress.whole(), "whole after {cut} bytes");
+            progress.wrote(&text[cut..]);
+            assert!(progress.whole(), "cut at {cut}");
+        }
+    }
+
+    /// A body of unknown length is whole with its last chunk, and not with an end that only looks like it.
+    #[test]
+    fn a_chunked_request_is_whole_only_with_its_last_chunk() {
+        let text = b"POST / HTTP/1.1\r\nA: b\r\n\r\n5\r\n\r\n\r\nx\r\n0\r\n\r\n";
+        for cut in 0..text.len() {
+            let mut progress = Progress { body: BodyLeft::Chunks { ended: false }, ..Progress::default() };
             progress.wrote(&text[..cut]);
             assert!(!progress.whole(), "whole after {cut} bytes");
+            progress.body = BodyLeft::Chunks { ended: true };
             progress.wrote(&text[cut..]);
             assert!(progress.whole(), "cut at {cut}");
         }
@@ -213,7 +294,7 @@
     }
 
     async fn ask(io: &mut LinkIo) -> std::io::Result<usize> {
-        io.0.begin(0);
+        io.0.begin(Some(0));
         io.write(b"GET / HTTP/1.1\r\n\r\n").await
     }
 
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -9,6 +9,7 @@
 mod link;
 mod ops;
 mod peers;
+mod stream;
 mod upstream;
 mod wire;
 
@@ -37,14 +38,18 @@
 /// Descriptors that are neither clients' nor servers': standard streams, event queues, discovery, the counter,
 /// peers, operators.
 const SPARE_SOCKETS: usize = 40 + ops::MOST;
-/// The part of the memory that large answers may take on their way through.
+/// The part of the memory that large answers may take on their way through...
 const LARGE_PART: usize = 4;
+/// ...and what is held of clients' bodies.
+const HELD_PART: usize = 8;
 /// How long clients may still come after the signal to stop, and how long after the last of them.
 const STILL_COMING: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(200));
 /// By then the listener closes whoever still comes.
 const LISTEN_MOST: Duration = Duration::from_millis(800);
 /// By then the gateway ends, whatever is left: before it would be killed.
 const STOP_MOST: Duration = Duration::from_millis(3_500);
+/// What the system holds of an answer that a client has not taken.
+const SEND_BUFFER: u32 = 128 << 10;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// A restarted gateway may find its address in use for a moment.
@@ -131,7 +136,8 @@
 
     let listener = bound("listen", || async { listen(config.listen) }).await?;
     tokio::task::spawn_local(reread(hangup, agent, counter));
-    let front = Front::new(core.clone(), config.settings, config.names, clients, config.most_units);
+    let held = config.memory / HELD_PART;
+    let front = Front::new(core.clone(), config.settings, config.names, clients, config.most_units, held);
     tokio::task::spawn_local(front.clone().look_over());
     eprintln!("{} listens on {}", config.name, listener.local_addr()?);
     if let Some(at) = config.ops {
@@ -154,6 +160,9 @@
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
+    // What a slow client has not taken yet stays with its server: its connection can be written to often
+    // enough to see that it goes on, and the system holds little of it.
+    socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.bind(at)?;
     socket.listen(BACKLOG)
 }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -2,9 +2,9 @@
 
 use crate::discovery::Member;
 use crate::link::{Counter, Link, LinkIo};
+use crate::stream::{self, Answered, Download, Sending, Upload, HELD_MOST, PASSING};
 use bytes::Bytes;
 use frostgauge::{Load, Micros, ServerId, State, Status};
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{
@@ -16,23 +16,22 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, timeout_at};
 
-/// Largest body of a request.
-pub const BODY_MOST: usize = 64 << 10;
-/// Largest body of an answer. Servers answer with more than they take in.
-const ANSWER_MOST: usize = 1 << 20;
+/// An answer said to be longer is none. Servers answer with more than they take in.
+const ANSWER_MOST: u64 = 64 << 20;
 /// Part of the servers' idle limit after which a connection is retired: one that a server closes just as a
 /// request is written to it would end that request as a reset.
 const IDLE_PART: f64 = 0.5;
 /// How long a connection rests after an answer, so that what comes behind that is seen before the next request.
 const REST: Duration = Duration::from_millis(2);
+/// What the system holds of an answer that has not been passed on.
+const RECEIVE_BUFFER: u32 = 128 << 10;
 /// hyper's read buffer for one connection, at most.
 const BUFFER_MOST: usize = 32 << 10;
 
@@ -45,7 +44,7 @@
     /// Its end-to-end headers.
     pub headers: HeaderMap,
     /// Its body, unchanged.
-    pub body: Bytes,
+    pub body: Rc<Upload>,
 }
 
 /// How an attempt ended.
@@ -59,7 +58,7 @@
     /// The server's load, where the answer told it.
     pub load: Option<Load>,
     /// The answer to pass on, if it was served.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Answered>>,
 }
 
 impl Reply {
@@ -93,7 +92,7 @@
 }
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     link: Rc<Link>,
     address: SocketAddr,
     opened: Micros,
@@ -112,25 +111,13 @@
     servers: RefCell<HashMap<ServerId, Server>>,
     open: Rc<Cell<usize>>,
     most: usize,
-    /// Room for answers above the size of a request's body, in KiB.
+    /// Room for answers that are passed on as they come, one permit each.
     room: Arc<Semaphore>,
     connect_timeout: Duration,
     idle_most: Duration,
     clock: crate::core::Clock,
 }
 
-/// A large answer with the room that it takes.
-struct Large {
-    data: Vec<u8>,
-    _room: OwnedSemaphorePermit,
-}
-
-impl AsRef<[u8]> for Large {
-    fn as_ref(&self) -> &[u8] {
-        &self.data
-    }
-}
-
 /// The request could not be written to this connection, which had ended before its first byte.
 struct Unwritten;
 
@@ -143,7 +130,7 @@
         connect_timeout: Duration,
         server_idle: Duration,
     ) -> Upstream {
-        let room = room.max(ANSWER_MOST) >> 10;
+        let room = (room / PASSING).max(1);
         Upstream {
             servers: RefCell::default(),
             open: Rc::default(),
@@ -235,7 +222,7 @@
             return Err(Status::Moot);
         }
         let counter = Counter::new(&self.open);
-        let connected = timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        let connected = timeout(self.connect_timeout, dial(address)).await;
         let stream = connected.map_err(|_| Status::ConnectFailed)?.map_err(|e| match e.kind() {
             io::ErrorKind::ConnectionRefused
             | io::ErrorKind::ConnectionReset
@@ -261,7 +248,7 @@
     /// Sends a request once, not later than told, and tells how that ended. `tries` counts it once it is
     /// written whole.
     pub async fn exchange(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         slot: &Slot,
         out: &Outgoing,
@@ -291,7 +278,7 @@
     }
 
     async fn over(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         mut connection: Connection,
         slot: &Slot,
@@ -299,19 +286,21 @@
         budget: Duration,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Result<Reply, Unwritten> {
-        let mut request = Request::new(Full::new(out.body.clone()));
+        let mut request = Request::new(Sending::new(&out.body, connection.link.clone()));
         *request.method_mut() = out.method.clone();
         *request.uri_mut() = out.uri.clone();
         *request.headers_mut() = out.headers.clone();
         request.headers_mut().insert(BUDGET, HeaderValue::from(budget.as_millis() as u64));
         slot.0.replace(Some(connection.link.clone()));
-        connection.link.begin(out.body.len());
+        connection.link.begin(out.body.length());
         connection.link.count(tries);
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(_) => {
                 connection.link.close();
                 return match (connection.link.whole(), connection.link.begun()) {
+                    // What its client broke off says nothing of the server.
+                    _ if out.body.broken() => Ok(Reply::bare(Status::Moot)),
                     (true, _) => Ok(Reply::bare(Status::Reset)),
                     (false, true) => Ok(Reply::bare(Status::ConnectFailed)),
                     (false, false) => {
@@ -321,13 +310,14 @@
                 };
             }
         };
+        connection.link.heard();
         let (head, body) = response.into_parts();
-        // An answer that changes the protocol, is too long or does not tell where it ends is none.
+        // An answer that changes the protocol or does not tell where it ends is none.
         let status = head.status.as_u16();
         let told = head.headers.contains_key(CONTENT_LENGTH) != head.headers.contains_key(TRANSFER_ENCODING);
         let sound = status > 199 && (told || status != 200);
         let body = if sound { self.read(body).await } else { None };
-        let Some(body) = body else {
+        let Some((body, rest)) = body.filter(|(_, rest)| rest.is_none() || status == 200) else {
             connection.link.close();
             return Ok(Reply::bare(Status::Reset));
         };
@@ -338,11 +328,19 @@
             _ => Status::Error,
         };
         let settled = charge(&head.headers).filter(|_| status == Status::Ok);
-        if connection.link.whole() {
-            self.park(server, connection);
-        } else {
-            connection.link.close();
-        }
+        let link = connection.link.clone();
+        let upstream = self.clone();
+        let done = move || match connection.link.whole() {
+            true => upstream.park(server, connection),
+            false => connection.link.close(),
+        };
+        let body = match rest {
+            Some((rest, room)) => Answered::Passing(Download::new((body, rest), link, Box::new(done), room)),
+            None => {
+                done();
+                Answered::Whole(body)
+            }
+        };
         let answer = (status == Status::Ok).then(|| {
             let mut head = head;
             strip(&mut head.headers);
@@ -352,31 +350,23 @@
         Ok(Reply { status, used, settled, load, answer })
     }
 
-    /// Reads an answer's body whole. A large one waits until there is room for it, which it keeps until its
-    /// last part has gone to the client; meanwhile its server waits in turn.
-    async fn read(&self, body: Incoming) -> Option<Bytes> {
-        let most = body.size_hint().upper().unwrap_or(ANSWER_MOST as u64);
-        let most = usize::try_from(most).ok().filter(|most| *most <= ANSWER_MOST)?;
-        let room = match most {
-            0..=BODY_MOST => None,
-            _ => Some(self.room.clone().acquire_many_owned(most.div_ceil(1 << 10) as u32).await.ok()?),
-        };
-        let mut data = Vec::with_capacity(body.size_hint().lower() as usize);
-        let mut body = pin!(Limited::new(body, most));
-        while let Some(frame) = body.frame().await {
-            if let Ok(part) = frame.ok()?.into_data() {
-                data.extend_from_slice(&part);
-            }
+    /// Reads a short answer's body whole. A long one waits until there is room for what is held of it on its
+    /// way, and is then passed on as it comes; meanwhile its server waits in turn.
+    async fn read(&self, body: Incoming) -> Option<(Bytes, Option<(Incoming, OwnedSemaphorePermit)>)> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|n| n > ANSWER_MOST) {
+            return None;
         }
-        Some(match room {
-            Some(room) => Bytes::from_owner(Large { data, _room: room }),
-            None => Bytes::from(data),
-        })
+        let long = length.is_some_and(|n| n > HELD_MOST as u64);
+        let (head, rest) = if long { (Bytes::new(), Some(body)) } else { stream::begin(body).await.ok()? };
+        let Some(rest) = rest else { return Some((head, None)) };
+        let room = self.room.clone().acquire_owned().await.ok()?;
+        Some((head, Some((rest, room))))
     }
 
     /// Looks at a server.
     pub async fn probe(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         path: &'static str,
         limit: Duration,
@@ -385,7 +375,7 @@
             method: Method::GET,
             uri: Uri::from_static(path),
             headers: HeaderMap::from_iter([(HOST, HeaderValue::from_static("server"))]),
-            body: Bytes::new(),
+            body: Rc::new(Upload::none()),
         };
         let slot = Slot::default();
         let Ok(reply) =
@@ -394,11 +384,21 @@
             slot.close();
             return (Status::Timeout, None);
         };
-        let told = reply.answer.as_ref().and_then(|a| HeaderValue::from_bytes(a.body()).ok());
+        let told = reply.answer.as_ref().and_then(|a| match a.body() {
+            Answered::Whole(body) => HeaderValue::from_bytes(body).ok(),
+            Answered::Passing(_) => None,
+        });
         (reply.status, reply.load.or_else(|| load(told.as_ref())))
     }
 }
 
+/// Opens a connection of which the system holds little that has not been passed on.
+async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.connect(address).await
+}
+
 /// How long the gateway will wait.
 const BUDGET: HeaderName = HeaderName::from_static("x-budget-ms");
 const REJECTED: HeaderName = HeaderName::from_static("x-rejected");
@@ -449,7 +449,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Outgoing, Slot, Upstream};
+    use super::{Outgoing, Slot, Upload, Upstream};
     use crate::core::Clock;
     use crate::discovery::Member;
     use frostgauge::{Entry, ServerId, State, Status};
@@ -460,14 +460,14 @@
     fn the_gateways_own_want_of_room_is_not_the_servers_fault() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let second = Duration::from_secs(1);
-        let upstream = Upstream::new(Clock::start(), 0, 0, second, second);
+        let upstream = std::rc::Rc::new(Upstream::new(Clock::start(), 0, 0, second, second));
         let entry = Entry { server: ServerId(1), state: State::Ready, ..Entry::default() };
         upstream.update(true, &[Member { address: ([127, 0, 0, 1], 1).into(), entry }]);
         let out = Outgoing {
             method: hyper::Method::GET,
             uri: hyper::Uri::from_static("/"),
             headers: hyper::HeaderMap::new(),
-            body: bytes::Bytes::new(),
+            body: std::rc::Rc::new(Upload::none()),
         };
         let slot = Slot::default();
         let sent = upstream.exchange(ServerId(1), &slot, &out, second, Instant::now() + second, None);
--- a/gateway/src/wire.rs
+++ b/gateway/src/wire.rs
@@ -10,9 +10,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// How long, and for how many bytes, a closing connection reads what its client still sends: closing with
-/// input unread would reset the connection and could take the answer along.
-const LINGER: (Duration, usize) = (Duration::from_millis(1_000), 256 << 10);
+/// How long in silence, how long in all, and for how many bytes, a closing connection reads what its client
+/// still sends: closing with input unread would reset the connection and could take the answer along.
+const LINGER: (Duration, Duration, usize) = (Duration::from_secs(1), Duration::from_secs(6), 64 << 20);
 /// Longest header name that matters.
 const NAME_MOST: usize = 17;
 
@@ -88,13 +88,20 @@
     /// When the first byte of the request that is being read came.
     began: Cell<Option<Instant>>,
     answering: Cell<bool>,
+    /// When the client last took something.
+    wrote: Cell<Instant>,
 }
 
 impl Wire {
     /// A wire over an accepted connection.
     pub fn new(stream: TcpStream) -> Rc<Wire> {
         let state = State { stream: Some(stream), scan: Scan::default(), ended: false };
-        Rc::new(Wire { state: RefCell::new(state), began: Cell::new(None), answering: Cell::new(false) })
+        Rc::new(Wire {
+            state: RefCell::new(state),
+            began: Cell::new(None),
+            answering: Cell::new(false),
+            wrote: Cell::new(Instant::now()),
+        })
     }
 
     /// When the request that is being read began to come.
@@ -107,6 +114,11 @@
         self.answering.get()
     }
 
+    /// When the client last took some of an answer, or was last given one.
+    pub fn wrote(&self) -> Instant {
+        self.wrote.get()
+    }
+
     /// The framing of the request whose head was just read; `None` if its head's start is not known.
     pub fn framing(&self) -> Option<Framing> {
         let state = self.state.borrow();
@@ -116,6 +128,7 @@
     /// A request has its answer, and its body took so many bytes: what follows is the next one.
     pub fn next(&self, body: usize) {
         self.answering.set(true);
+        self.wrote.set(Instant::now());
         let mut state = self.state.borrow_mut();
         let whole = state.scan.place == Place::Behind(body);
         state.scan = Scan { place: if whole { Place::Between } else { Place::Lost }, ..Scan::default() };
@@ -138,10 +151,10 @@
         };
         let Some(mut stream) = stream.filter(|_| !ended) else { return };
         let read_out = async {
-            let (mut data, mut left) = ([0; 4096], LINGER.1);
+            let (mut data, mut left) = ([0; 4096], LINGER.2);
             stream.shutdown().await?;
             while left > 0 {
-                match stream.read(&mut data).await? {
+                match timeout(LINGER.0, stream.read(&mut data)).await?? {
                     0 => break,
                     n => left = left.saturating_sub(n),
                 }
@@ -149,7 +162,7 @@
             io::Result::Ok(())
         };
         // However that ended, the connection closes now.
-        let _ = timeout(LINGER.0, read_out).await;
+        let _ = timeout(LINGER.1, read_out).await;
     }
 
     fn poll<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -182,7 +195,12 @@
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll(|stream| stream.poll_write(cx, data))
+        let wrote = self.0.poll(|stream| stream.poll_write(cx, data));
+        self.0.answering.set(true);
+        if wrote.is_ready() {
+            self.0.wrote.set(Instant::now());
+        }
+        wrote
     }
 
     // hyper flushes what lies under it once it has written all that it had.
--- a/gateway/tests/loopback/main.rs
+++ b/gateway/tests/loopback/main.rs
@@ -7,3 +7,4 @@
 mod ops;
 mod rig;
 mod servers;
+mod size;
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -435,6 +435,27 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    pub fn write_bytes(&mut self, data: &[u8]) {
+        self.0.get_mut().write_all(data).unwrap();
+    }
+
+    /// Reads the head of an answer and so many bytes of its body.
+    pub fn bytes_of_answer(&mut self, length: usize) -> Vec<u8> {
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            self.0.read_line(&mut line).unwrap();
+        }
+        self.more_bytes(length)
+    }
+
+    /// Reads so many bytes more.
+    pub fn more_bytes(&mut self, length: usize) -> Vec<u8> {
+        let mut data = vec![0; length];
+        self.0.read_exact(&mut data).unwrap();
+        data
+    }
+
     /// The next answer; `None` if the gateway closed the connection first.
     pub fn answer(&mut self) -> Option<Message> {
         read(&mut self.0)
--- a/src/api.rs
+++ b/src/api.rs
@@ -302,6 +302,11 @@
         /// The request.
         id: RequestId,
     },
+    /// Part of the request's body has gone on that is at hand no more: no further attempt can be sent.
+    Spent {
+        /// The request.
+        id: RequestId,
+    },
     /// An attempt ended.
     Outcome {
         /// The request.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -211,6 +211,7 @@
     held: bool,
     inside: bool,
     started: bool,
+    spent: bool,
     done: bool,
     attempts: Vec<Attempt>,
 }
@@ -456,7 +457,7 @@
             Effect::Fragile => ran.is_none(),
         };
         let out_now = r.attempts.iter().any(|a| a.open);
-        if r.done || r.started || out_now || !allowed || now >= r.deadline {
+        if r.done || r.started || r.spent || out_now || !allowed || now >= r.deadline {
             return false;
         }
         let cost = if ran.is_some() { 1.0 } else { UNSEEN_RETRY };
@@ -868,6 +869,7 @@
                 let request = Request { class, plan, customer, units, arrived: now, ..Request::default() };
                 self.arrive(now, id, Request { waited, deadline, ..request }, out);
             }
+            Event::Spent { id } => drop(self.requests.entry(id).and_modify(|r| r.spent = true)),
             Event::Started { id } => drop(self.requests.entry(id).and_modify(|r| r.started = true)),
             Event::Outcome { id, attempt, server, status, took, closed, used, settled, load } => {
                 self.report(now, server, load);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -93,3 +93,14 @@
     assert_eq!(refusal(|s| s.tick = 0).as_deref(), Some("tick"));
     assert_eq!(refusal(|s| s.rules.fall_multiple = f64::INFINITY).as_deref(), Some("rules.fall_multiple"));
 }
+
+/// What has gone on of a long body is at hand no more, whatever the class allows.
+#[test]
+fn a_request_whose_body_is_spent_is_not_sent_again() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    let (id, actions) = rig.request(0, 100, 2 * S);
+    let server = sent(&actions).expect("a first attempt");
+    rig.event(Event::Spent { id });
+    let actions = rig.outcome(id, 0, server, Status::ConnectFailed);
+    assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
+}
