Start a customer that is new here but at its quota with what is left of it

Causes thought of: both processes of an upgrade granting full stores, the counter not answering, every new process granting full stores.

At fault is Gateway::customer: a customer that this process has not met starts full. Its first answer tells whether it is at its quota; the store then keeps what the counter's total leaves of a burst, as that is all that nobody can have taken. Below the quota, and with a young name, it stays.

The test fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,7 @@
 const NEWS_FADE_S: f64 = 5.0; // s; demand not told of again fades in this time: a spike ends unseen
 const NEWS_PRIOR: f64 = 1.0; // requests; a reading made of fewer says little
 const DEMAND_MOST: f64 = 10.0; // quotas; a reading that is late tells the same excess twice
+const SPENT: f64 = 1.0; // use of a customer new here that leaves nothing in its store
 const DRY: f64 = 2.0; // quotas; demand supposed of a customer whose counted store is empty
 const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
 
@@ -639,6 +640,9 @@
         }
         let Some(used) = used.filter(|u| u.is_finite() && *u >= 0.0 && plan.rate > 0.0) else { return };
         self.metered = now;
+        if c.demand_at == 0 && used >= SPENT {
+            c.level = c.level.min((plan.burst - c.total.unwrap_or(plan.burst)).max(0.0));
+        }
         let before = c.demand(now);
         // While the share binds, the meter shows the demand cut by it, some time later.
         if before > 1.0 && now < c.demand_at + NEWS_LAG {
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -131,6 +131,36 @@
     assert!(sent(&done).is_some(), "six units in five seconds are less than the rate: {done:?}");
 }
 
+/// A gateway that starts amid a day finds its customers new, though they may have spent what they have: where
+/// the first told use is at the quota, the store holds no more than the counted total leaves of it.
+#[test]
+fn a_new_customer_already_at_its_quota_does_not_start_full() {
+    for (total, used, goes) in [(50.0, 0.6, true), (50.0, 1.2, false), (2.0, 1.2, true)] {
+        let mut rig = Rig::new(counting(), &[entry(1, 0)]);
+        let (id, actions) = rig.request(0, 5, 2 * S);
+        let (counter, _) = call(&actions).expect("a call");
+        let server = sent(&reply(&mut rig, counter, Some(total))).expect("it goes");
+        let (status, used) = (Status::Ok, Some(used));
+        let end = Event::Outcome {
+            id,
+            attempt: 0,
+            server,
+            status,
+            took: 2 * MS,
+            closed: true,
+            used,
+            settled: None,
+            load: None,
+        };
+        rig.event(end);
+        let (_, mut done) = rig.request(0, 5, 2 * S);
+        if call(&done).is_some() {
+            done.extend(reply(&mut rig, counter, Some(total + 1.0)));
+        }
+        assert_eq!(sent(&done).is_some(), goes, "{total} counted, {used:?} used: {done:?}");
+    }
+}
+
 /// The counter hears of the true units, which the other gateways cannot see otherwise.
 #[test]
 fn what_a_request_settled_for_is_counted() {
