Count a long body's request as timed and in work only once it has come

The module counted such an attempt as out, and its whole upload as the time to answer, so that the back end looked pressed; and it timed the request from its head, though a request's time is counted from its last byte.

Both tests fail without the change.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -245,7 +245,9 @@
         inner.requests.insert(id, held);
         self.arm(&mut inner, limit, Due::Limit(id.0));
         let Terms { class, plan, customer, patience, units, spread, first, repeat, .. } = terms;
-        let event = Event::Request { id, class, plan, customer, patience, units, spread, first, repeat };
+        let coming = self.await_rest(id, patience, &inner.requests);
+        let event =
+            Event::Request { id, class, plan, customer, patience, units, spread, first, repeat, coming };
         inner.events.push_back(event);
         // The same time for the module's deadline as for the limit: on a busy machine a second look at the
         // clock can be late by more than the module's margin, and the limit would then come first.
@@ -253,6 +255,32 @@
         Some((id, receiver, self.counts.taken(class)))
     }
 
+    /// Whether part of a request's body is still to come. Its time begins once all of it has gone on.
+    fn await_rest(self: &Rc<Self>, id: RequestId, patience: Micros, held: &HashMap<RequestId, Held>) -> bool {
+        let Some(body) = held.get(&id).map(|h| &h.outgoing.body) else { return false };
+        let core = self.clone();
+        body.when_passed(move || core.came(id, patience))
+    }
+
+    /// The last of a long body has gone on.
+    fn came(self: &Rc<Self>, id: RequestId, patience: Micros) {
+        let mut inner = self.inner.borrow_mut();
+        let now = self.clock.now();
+        let Some(held) = inner.requests.get_mut(&id) else { return };
+        let limit = now + patience;
+        held.limit = limit;
+        let attempt = held.running.as_mut().map(|running| {
+            running.sent = now;
+            running.attempt
+        });
+        if let Some(attempt) = attempt {
+            self.arm(&mut inner, limit, Due::Attempt(id.0, attempt));
+        }
+        self.arm(&mut inner, limit, Due::Limit(id.0));
+        inner.events.push_back(Event::Came { id });
+        self.work_from(&mut inner, now);
+    }
+
     /// The client of a request left.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
         let mut inner = self.inner.borrow_mut();
@@ -375,7 +403,9 @@
             core.ended(id, attempt, reply);
         });
         held.running = Some(Running { attempt, server, sent: now, slot, task: task.abort_handle() });
-        self.arm(inner, until, Due::Attempt(id.0, attempt));
+        if !held.outgoing.body.coming() {
+            self.arm(inner, until, Due::Attempt(id.0, attempt));
+        }
     }
 
     /// An attempt ended by itself. The first good answer goes to the client at once and ends the request.
@@ -489,6 +519,10 @@
     /// if it says nothing, the request ends all the same.
     fn overdue(&self, inner: &mut Inner, id: RequestId) {
         let Some(held) = inner.requests.get(&id).filter(|h| h.answer.is_some()) else { return };
+        // Of a body that is still coming the limit is told anew once it has come.
+        if held.outgoing.body.coming() || self.clock.now() < held.limit {
+            return;
+        }
         if held.running.is_some() {
             let limit = held.limit;
             self.stop(inner, id, Status::Timeout);
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -21,7 +21,7 @@
 const PIECE: usize = 16 << 10;
 /// What a body that is passed on may take at a time: what is held of it, and hyper's buffers on both sides.
 pub const PASSING: usize = 128 << 10;
-/// A server that gives nothing more of its answer for so long will not.
+/// A server that gives nothing more of its answer for so long will not, nor will a client of its body.
 const STALL_MOST: Duration = Duration::from_secs(15);
 
 /// Why a body cannot be passed on to its end.
@@ -70,6 +70,8 @@
     /// Its whole length, where that is known.
     length: Option<u64>,
     state: Cell<UploadState>,
+    /// What is done once all of a long one has gone on.
+    passed: RefCell<Option<Box<dyn FnOnce()>>>,
     _room: Option<OwnedSemaphorePermit>,
 }
 
@@ -81,7 +83,7 @@
     Passing,
     /// All of it has gone on.
     Passed,
-    /// Its client broke it off.
+    /// Its client broke it off, or gave no more of it.
     Broken,
 }
 
@@ -94,7 +96,8 @@
         room: Option<OwnedSemaphorePermit>,
     ) -> Upload {
         let length = if rest.is_some() { length } else { Some(head.len() as u64) };
-        Upload { head, rest: RefCell::new(rest), length, state: Cell::new(UploadState::AtHand), _room: room }
+        let (rest, state) = (RefCell::new(rest), Cell::new(UploadState::AtHand));
+        Upload { head, rest, length, state, passed: RefCell::default(), _room: room }
     }
 
     /// No body.
@@ -117,6 +120,20 @@
         self.state.get() == UploadState::Broken
     }
 
+    /// What to do once all of it has gone on; whether there is anything to wait for.
+    pub fn when_passed(&self, then: impl FnOnce() + 'static) -> bool {
+        let long = self.rest.borrow().is_some();
+        if long {
+            self.passed.replace(Some(Box::new(then)));
+        }
+        long
+    }
+
+    /// Whether part of it is still to come.
+    pub fn coming(&self) -> bool {
+        self.passed.borrow().is_some() && self.state.get() != UploadState::Broken
+    }
+
     /// Whether nothing more is to come of it.
     pub fn read_out(&self) -> bool {
         self.rest.borrow().is_none() && matches!(self.state.get(), UploadState::AtHand | UploadState::Passed)
@@ -129,6 +146,7 @@
     head: Bytes,
     rest: Option<Incoming>,
     link: Rc<Link>,
+    stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl Sending {
@@ -136,7 +154,18 @@
     pub fn new(upload: &Rc<Upload>, link: Rc<Link>) -> Sending {
         // Only one attempt is out at a time, so that the rest is here unless some of it has gone on.
         let rest = upload.rest.borrow_mut().take();
-        Sending { upload: upload.clone(), head: upload.head.clone(), rest, link }
+        let stall = rest.is_some().then(|| Box::pin(sleep(STALL_MOST)));
+        Sending { upload: upload.clone(), head: upload.head.clone(), rest, link, stall }
+    }
+
+    /// All of it has been handed on.
+    fn end(&mut self) {
+        self.rest = None;
+        self.link.body_ended();
+        if self.upload.state.replace(UploadState::Passed) != UploadState::Passed {
+            let passed = self.upload.passed.borrow_mut().take();
+            passed.into_iter().for_each(|then| then());
+        }
     }
 }
 
@@ -156,37 +185,44 @@
         if !self.head.is_empty() {
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.head)))));
         }
-        let Sending { upload, rest, link, .. } = &mut *self;
-        let Some(body) = rest.as_mut() else {
-            link.body_ended();
-            return Poll::Ready(upload.spent().then_some(Err(Cut::Spent)));
-        };
+        let this = &mut *self;
+        let state = &this.upload.state;
         loop {
-            return Poll::Ready(match ready!(Pin::new(&mut *body).poll_frame(cx)) {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => {
-                        upload.state.set(UploadState::Passing);
-                        // hyper asks no further once it has as much as was announced.
-                        if body.is_end_stream() {
-                            upload.state.set(UploadState::Passed);
-                            *rest = None;
-                            link.body_ended();
-                        }
-                        Some(Ok(Frame::data(data)))
+            let Some(rest) = this.rest.as_mut() else {
+                this.link.body_ended();
+                return Poll::Ready(this.upload.spent().then_some(Err(Cut::Spent)));
+            };
+            let frame = match (Pin::new(&mut *rest).poll_frame(cx), &mut this.stall) {
+                (Poll::Ready(frame), _) => frame.transpose().map_err(Cut::Broken),
+                (Poll::Pending, Some(stall)) => {
+                    ready!(stall.as_mut().poll(cx));
+                    Err(Cut::Stalled)
+                }
+                (Poll::Pending, None) => return Poll::Pending,
+            };
+            if let Some(stall) = &mut this.stall {
+                stall.as_mut().reset(Instant::now() + STALL_MOST);
+            }
+            let over = rest.is_end_stream();
+            return Poll::Ready(match frame.map(|frame| frame.map(Frame::into_data)) {
+                Ok(Some(Ok(data))) => {
+                    state.set(UploadState::Passing);
+                    // hyper asks no further once it has as much as was announced.
+                    if over {
+                        this.end();
                     }
-                    // Trailers are free, and not passed on.
-                    Err(_) => continue,
-                },
-                Some(Err(e)) => {
-                    upload.state.set(UploadState::Broken);
-                    Some(Err(Cut::Broken(e)))
+                    Some(Ok(Frame::data(data)))
                 }
-                None => {
-                    upload.state.set(UploadState::Passed);
-                    *rest = None;
-                    link.body_ended();
+                // Trailers are free, and not passed on.
+                Ok(Some(Err(_))) => continue,
+                Ok(None) => {
+                    this.end();
                     None
                 }
+                Err(cut) => {
+                    state.set(UploadState::Broken);
+                    Some(Err(cut))
+                }
             });
         }
     }
--- a/gateway/tests/loopback/size.rs
+++ b/gateway/tests/loopback/size.rs
@@ -55,6 +55,27 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, ""));
 }
 
+/// The client's time for an answer begins with its last byte: a request that was asked for later, and has had
+/// all of its time, ends before.
+#[test]
+fn a_long_body_may_take_longer_than_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (gateway, _agent) = before(&listener);
+    let mut client = gateway.client();
+    let quick = |request: String| request.replace("X-Budget-Ms: 1900", "X-Budget-Ms: 60");
+    client.write(&quick(payout("").replace("Content-Length: 0", "Content-Length: 1048576")));
+    client.write_bytes(&pattern(MIB / 2));
+    let (mut server, _) = listener.accept().unwrap();
+    read_head(&mut server);
+    server.read_exact(&mut vec![0; MIB / 2]).unwrap();
+    let late = gateway.client().call(&quick(payout("x")));
+    assert_eq!(late.status(), 502, "the server never takes this one up");
+    client.write_bytes(&pattern(MIB / 2));
+    server.read_exact(&mut vec![0; MIB / 2]).unwrap();
+    server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").unwrap();
+    assert_eq!(client.answer().unwrap().status(), 200);
+}
+
 /// One of unknown length goes on in chunks, and its server answers once the last has come.
 #[test]
 fn a_long_chunked_body_goes_on_to_its_last_chunk() {
--- a/simhost/src/events.rs
+++ b/simhost/src/events.rs
@@ -117,6 +117,7 @@
                 spread: whole(f, 6, "setSize")? as usize,
                 first: whole(f, 7, "firstDoor")? as usize,
                 repeat: whole(f, 8, "flags")? & 2 != 0,
+                coming: false,
             }
         }
         "established" => match instance.ids.get(text(f, 0, "call")?) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -296,12 +296,19 @@
         first: usize,
         /// The client marked it as a repeat of an earlier try.
         repeat: bool,
+        /// Part of its body is still to come, and nothing of it is timed or in work until [`Event::Came`].
+        coming: bool,
     },
     /// A streamed answer has begun.
     Started {
         /// The request.
         id: RequestId,
     },
+    /// The rest of the request's body came and has gone on to the attempt that is out; its time counts from now.
+    Came {
+        /// The request.
+        id: RequestId,
+    },
     /// Part of the request's body has gone on that is at hand no more: no further attempt can be sent.
     Spent {
         /// The request.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,31 +1,23 @@
-//! Every decision of the gateway; the interface, types only, is `src/api.rs`. The ordinary path is the peak
-//! load control of Lee and Min (2007, Figure 10), one pacer a customer.
+//! Every decision of the gateway; the interface, types only, is `src/api.rs`. The ordinary path is a pacer
+//! for each customer (`src/customers.rs`).
 
 use crate::api::*;
+use crate::customers::{Customer, News, DEBT_OF_BURST, MEMORY_S, NEWS_LAG};
 use crate::parts::{fade, read, seconds, write, Dice, Line, Rate, LINES};
 use crate::servers::{ejected, Patience, Server, REPORT_S};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // Pacing.
-const INTERVAL: Micros = 500_000; // µs; the paper's interval: long enough for a few requests of a small plan
-const DELTA_MS: f64 = 10.0; // ms; the paper's δ: a delay this short smooths nothing, so it may fall to none
-const BETA: f64 = 0.5; // the paper's β: a cap-long delay is gone within some four quiet intervals
 const HOLD_OF_AIM: f64 = 0.15; // most of the aim that a hold may use; the answer needs the rest
 const HOLD_OF_LEFT: f64 = 0.25; // and of the client's own time, which may be far shorter than the aim
 
 // Metered share.
 
-const MEMORY_S: f64 = 1.5; // s; horizon of use rates: about the age of what the meter tells
 const METER_STALE: Micros = 4_000_000; // µs; with no figure of use for this long the even slice serves
-const HEADROOM: f64 = 4.0; // even slices that one gateway may use while the meter tells of room
-const FEWEST: f64 = 2.0; // requests that such a slice holds at least
-const NEWS_LAG: Micros = 2_000_000; // µs; the meter shows what a change of share did after about this
-const NEWS_FADE_S: f64 = 5.0; // s; demand not told of again fades in this time: a spike ends unseen
 const NEWS_PRIOR: f64 = 1.0; // requests; a reading made of fewer says little
 const DEMAND_MOST: f64 = 10.0; // quotas; a reading that is late tells the same excess twice
 const SPENT: f64 = 1.0; // use of a customer new here that leaves nothing in its store
 const DRY: f64 = 2.0; // quotas; demand supposed of a customer whose counted store is empty
-const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
 
 // Peers and counter.
 
@@ -70,125 +62,6 @@
 
 type Out<'a> = &'a mut Vec<Action>;
 
-// ---- Customers: bucket, metered share, pacer, ceiling ----
-
-#[derive(Default)]
-struct Customer {
-    plan: usize,
-    terms: Plan,
-    spread: usize,
-    first: usize,
-    level: f64,
-    filled: Micros,
-    mine: Rate,
-    demand: f64,
-    demand_at: Micros,
-    credit: f64,
-    delay_ms: f64,
-    interval_at: Micros,
-    arrived: f64,
-    next_leave: Micros,
-    open: u32,
-    slice: f64,
-    sent: f64,
-    heard: BTreeMap<usize, (u32, u32)>,
-    uncounted: f64,
-    adding: f64,
-    calling: bool,
-    counted: Micros,
-    total: Option<f64>,
-    unsure: f64,
-    spilt: f64,
-    waiting: Vec<RequestId>,
-}
-
-/// How a customer's use by other gateways is known.
-#[derive(Clone, Copy, PartialEq)]
-enum News {
-    Told,    // unit by unit
-    Metered, // the demand, as last read here or heard of
-    Silent,
-}
-
-impl Customer {
-    /// Demand at all gateways, in quotas, as far as it is known: it fades unless told of again.
-    fn demand(&self, now: Micros) -> f64 {
-        let age = now.saturating_sub(self.demand_at.saturating_add(NEWS_LAG));
-        self.demand * fade(age, NEWS_FADE_S)
-    }
-
-    /// This gateway's metered share of the quota, floored at the even slice.
-    fn share(&self, now: Micros, news: News) -> f64 {
-        let (even, total) = (1.0 / self.spread as f64, self.demand(now) * self.terms.rate);
-        match news {
-            News::Told => 1.0,
-            News::Silent => even,
-            News::Metered => (self.mine.get(now, MEMORY_S) / total.max(1e-9)).clamp(even, 1.0),
-        }
-    }
-
-    /// Fills the bucket, its slice and that of the ceiling; a slice below one request still serves one.
-    fn refill(&mut self, now: Micros, units: f64, news: News) {
-        let (plan, even) = (&self.terms, 1.0 / self.spread as f64);
-        let dt = seconds(now.saturating_sub(self.filled));
-        let full = self.level + dt * plan.rate;
-        self.level = full.min(plan.burst);
-        self.spilt += full - self.level;
-        if self.demand(now) <= 1.0 {
-            let part = if news == News::Silent { even } else { (HEADROOM * even).min(1.0) };
-            self.credit = (self.credit + dt * plan.rate * part).min((plan.burst * part).max(FEWEST * units));
-        }
-        let most = (plan.ceiling_burst + plan.ceiling_slack) * even;
-        self.slice = (self.slice + dt * plan.ceiling_rate * even).min(most);
-        self.filled = self.filled.max(now);
-    }
-
-    /// Ends the pacer's intervals that are over: the paper's Figure 10.
-    fn pace(&mut self, now: Micros, quota: f64, cap_ms: f64) {
-        while now >= self.interval_at + INTERVAL {
-            let over = self.arrived / seconds(INTERVAL) - quota;
-            self.delay_ms = if over > 0.0 {
-                let before = if self.delay_ms == 0.0 { 1.0 } else { self.delay_ms };
-                (over / f64::from(self.open.max(1)) * before).min(cap_ms)
-            } else if self.delay_ms > DELTA_MS {
-                self.delay_ms * BETA
-            } else {
-                0.0
-            };
-            self.arrived = 0.0;
-            self.interval_at += INTERVAL;
-            if self.delay_ms == 0.0 {
-                self.interval_at += (now - self.interval_at) / INTERVAL * INTERVAL;
-            }
-        }
-    }
-
-    /// Whether a try may go within the quota: told unit by unit, by the bucket; else by its slice as well.
-    fn covers(&self, now: Micros, units: f64, news: News) -> bool {
-        let most_open = (f64::from(self.terms.open) * self.share(now, news)).round().max(1.0);
-        let store = if news == News::Told { self.level } else { self.level.min(self.credit) };
-        (self.terms.rate == 0.0 || store >= units)
-            && (self.terms.open == 0 || f64::from(self.open) <= most_open)
-    }
-
-    /// How long until an unused customer is as good as new: its stores have filled again.
-    fn idle_after(&self) -> Micros {
-        let (p, fill) = (&self.terms, |most: f64, rate: f64| if rate > 0.0 { most / rate } else { 0.0 });
-        let quota = fill(p.burst * (1.0 + DEBT_OF_BURST), p.rate) * self.spread as f64;
-        let ceiling = fill(p.ceiling_burst + p.ceiling_slack, p.ceiling_rate);
-        ((quota.max(ceiling) + 1.0) * 1e6) as Micros
-    }
-
-    /// Takes news of the demand; at its onset gateways start at odds, so that their firsts do not all go.
-    fn learn(&mut self, now: Micros, demand: f64, phase: f64) {
-        if self.demand(now) <= 1.0 && demand > 1.0 {
-            self.credit = self.credit.min(phase);
-        }
-        self.demand = demand;
-        self.demand_at = now;
-    }
-}
-
 // ---- Requests ----
 
 struct Attempt {
@@ -198,6 +71,7 @@
     may_have_run: bool,
     held: f64,
     cut: bool,
+    working: bool,
 }
 
 #[derive(Default)]
@@ -213,6 +87,7 @@
     inside: bool,
     started: bool,
     spent: bool,
+    coming: bool,
     done: bool,
     attempts: Vec<Attempt>,
 }
@@ -496,18 +371,44 @@
         let Some(r) = self.requests.get(&id) else { return false };
         let timeout = silent.unwrap_or(r.deadline - now);
         self.sends.add(now, 1.0, MEMORY_S);
-        self.out_now += 1;
         if let (Some(x), Some(r)) = (self.servers.get_mut(&server), self.requests.get_mut(&id)) {
-            let held = x.holds(now);
-            x.open += 1;
+            let (held, working) = (x.holds(now), !r.coming);
             x.credit -= 1.0;
             let cut = silent.is_some();
-            r.attempts.push(Attempt { server, sent: now, open: true, may_have_run: false, held, cut });
+            r.attempts.push(Attempt {
+                server,
+                sent: now,
+                open: true,
+                may_have_run: false,
+                held,
+                cut,
+                working,
+            });
+            if working {
+                x.open += 1;
+                self.out_now += 1;
+            }
             out.push(Action::Send { id, server, timeout });
         }
         true
     }
 
+    /// The last of a long body has gone on: only now has its server work, and only now does its time begin.
+    fn came(&mut self, now: Micros, id: RequestId, out: Out) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.coming) else { return };
+        r.coming = false;
+        (r.arrived, r.deadline) = (now, now + (r.deadline - r.arrived));
+        out.push(Action::Timer { at: r.deadline, timer: TimerId(id.0 << 1) });
+        for a in r.attempts.iter_mut().filter(|a| a.open) {
+            (a.sent, a.working) = (now, true);
+            self.out_now += 1;
+            if let Some(x) = self.servers.get_mut(&a.server) {
+                a.held = x.holds(now);
+                x.open += 1;
+            }
+        }
+    }
+
     /// How long to wait for an attempt if a further one can follow: aim, budget, rules and servers allow it.
     fn silent_after(&self, now: Micros, id: RequestId, server: ServerId, wait: f64) -> Option<Micros> {
         let (s, r) = (&self.settings, self.requests.get(&id)?);
@@ -588,11 +489,12 @@
         a.open = false;
         a.may_have_run = !matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
         let (server, held, cut, aim) = (a.server, a.held, a.cut, self.settings.classes[r.class].aim);
+        let working = u32::from(a.working);
         if status == Status::Ok || status == Status::Timeout && cut {
             self.patience.learn(r.class, aim, took);
         }
         let (done, plan, late, aim) = (r.done, r.plan, cut || took >= aim, seconds(aim));
-        self.out_now = self.out_now.saturating_sub(1);
+        self.out_now = self.out_now.saturating_sub(working);
         if matches!(status, Status::Ok | Status::Timeout | Status::Cancelled) {
             self.strain += STRAIN_GAIN * (seconds(took) / aim - self.strain);
         }
@@ -600,7 +502,7 @@
             self.flow.add(now, ANSWER_OF_AIM * aim, MEMORY_S);
         }
         if let Some(x) = self.servers.get_mut(&server) {
-            x.open = x.open.saturating_sub(1);
+            x.open = x.open.saturating_sub(working);
             match status {
                 Status::Ok => {
                     x.item_us += ITEM_GAIN * (took as f64 / (held + 1.0) - x.item_us);
@@ -852,7 +754,7 @@
         }
         match event {
             Event::Servers { kind, entries } => self.list(now, kind, entries, out),
-            Event::Request { id, class, plan, customer, patience, units, spread, first, repeat } => {
+            Event::Request { id, class, plan, customer, patience, units, spread, first, repeat, coming } => {
                 let (s, margin) = (&self.settings, 2 * self.settings.tick);
                 let sane = class < s.classes.len() && plan < s.plans.len() && (0.0..1e9).contains(&units);
                 if self.requests.contains_key(&id) {
@@ -871,8 +773,9 @@
                 let short = if marks { repeat } else { left < SHORT * self.usual[class] };
                 let waited = if short { deadline_us.saturating_sub(patience) } else { 0 };
                 let request = Request { class, plan, customer, units, arrived: now, ..Request::default() };
-                self.arrive(now, id, Request { waited, deadline, ..request }, out);
+                self.arrive(now, id, Request { waited, deadline, coming, ..request }, out);
             }
+            Event::Came { id } => self.came(now, id, out),
             Event::Spent { id } => drop(self.requests.entry(id).and_modify(|r| r.spent = true)),
             Event::Started { id } => drop(self.requests.entry(id).and_modify(|r| r.started = true)),
             Event::Outcome { id, attempt, server, status, took, closed, used, settled, load } => {
@@ -884,6 +787,7 @@
             // A request's timers bear its number twice: even at its deadline, odd at the end of its hold.
             Event::Timer { timer: TURN } => self.round(now, out),
             Event::Timer { timer: TimerId(k) } => match self.requests.get(&RequestId(k >> 1)) {
+                Some(r) if k & 1 == 0 && (r.coming || now < r.deadline) => {}
                 Some(_) if k & 1 == 0 => self.answer(RequestId(k >> 1), 0, out),
                 Some(r) if r.held => self.leave(now, RequestId(k >> 1), out),
                 _ => {}
--- /dev/null
+++ b/src/customers.rs
@@ -0,0 +1,134 @@
+//! Customers as the decisions see them: bucket, metered share, pacer and ceiling. The pacer is the peak load
+//! control of Lee and Min (2007, Figure 10).
+
+use crate::api::*;
+use crate::parts::{fade, seconds, Rate};
+use std::collections::BTreeMap;
+
+const INTERVAL: Micros = 500_000; // µs; the paper's interval: long enough for a few requests of a small plan
+const DELTA_MS: f64 = 10.0; // ms; the paper's δ: a delay this short smooths nothing, so it may fall to none
+const BETA: f64 = 0.5; // the paper's β: a cap-long delay is gone within some four quiet intervals
+pub(crate) const MEMORY_S: f64 = 1.5; // s; horizon of use rates: about the age of what the meter tells
+const HEADROOM: f64 = 4.0; // even slices that one gateway may use while the meter tells of room
+const FEWEST: f64 = 2.0; // requests that such a slice holds at least
+pub(crate) const NEWS_LAG: Micros = 2_000_000; // µs; the meter shows what a change of share did after about this
+const NEWS_FADE_S: f64 = 5.0; // s; demand not told of again fades in this time: a spike ends unseen
+pub(crate) const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
+
+/// A customer as this gateway sees it.
+#[derive(Default)]
+pub(crate) struct Customer {
+    pub plan: usize,
+    pub terms: Plan,
+    pub spread: usize,
+    pub first: usize,
+    pub level: f64,
+    pub filled: Micros,
+    pub mine: Rate,
+    pub demand: f64,
+    pub demand_at: Micros,
+    pub credit: f64,
+    pub delay_ms: f64,
+    pub interval_at: Micros,
+    pub arrived: f64,
+    pub next_leave: Micros,
+    pub open: u32,
+    pub slice: f64,
+    pub sent: f64,
+    pub heard: BTreeMap<usize, (u32, u32)>,
+    pub uncounted: f64,
+    pub adding: f64,
+    pub calling: bool,
+    pub counted: Micros,
+    pub total: Option<f64>,
+    pub unsure: f64,
+    pub spilt: f64,
+    pub waiting: Vec<RequestId>,
+}
+
+/// How a customer's use by other gateways is known.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum News {
+    Told,    // unit by unit
+    Metered, // the demand, as last read here or heard of
+    Silent,
+}
+
+impl Customer {
+    /// Demand at all gateways, in quotas, as far as it is known: it fades unless told of again.
+    pub fn demand(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.demand_at.saturating_add(NEWS_LAG));
+        self.demand * fade(age, NEWS_FADE_S)
+    }
+
+    /// This gateway's metered share of the quota, floored at the even slice.
+    pub fn share(&self, now: Micros, news: News) -> f64 {
+        let (even, total) = (1.0 / self.spread as f64, self.demand(now) * self.terms.rate);
+        match news {
+            News::Told => 1.0,
+            News::Silent => even,
+            News::Metered => (self.mine.get(now, MEMORY_S) / total.max(1e-9)).clamp(even, 1.0),
+        }
+    }
+
+    /// Fills the bucket, its slice and that of the ceiling; a slice below one request still serves one.
+    pub fn refill(&mut self, now: Micros, units: f64, news: News) {
+        let (plan, even) = (&self.terms, 1.0 / self.spread as f64);
+        let dt = seconds(now.saturating_sub(self.filled));
+        let full = self.level + dt * plan.rate;
+        self.level = full.min(plan.burst);
+        self.spilt += full - self.level;
+        if self.demand(now) <= 1.0 {
+            let part = if news == News::Silent { even } else { (HEADROOM * even).min(1.0) };
+            self.credit = (self.credit + dt * plan.rate * part).min((plan.burst * part).max(FEWEST * units));
+        }
+        let most = (plan.ceiling_burst + plan.ceiling_slack) * even;
+        self.slice = (self.slice + dt * plan.ceiling_rate * even).min(most);
+        self.filled = self.filled.max(now);
+    }
+
+    /// Ends the pacer's intervals that are over: the paper's Figure 10.
+    pub fn pace(&mut self, now: Micros, quota: f64, cap_ms: f64) {
+        while now >= self.interval_at + INTERVAL {
+            let over = self.arrived / seconds(INTERVAL) - quota;
+            self.delay_ms = if over > 0.0 {
+                let before = if self.delay_ms == 0.0 { 1.0 } else { self.delay_ms };
+                (over / f64::from(self.open.max(1)) * before).min(cap_ms)
+            } else if self.delay_ms > DELTA_MS {
+                self.delay_ms * BETA
+            } else {
+                0.0
+            };
+            self.arrived = 0.0;
+            self.interval_at += INTERVAL;
+            if self.delay_ms == 0.0 {
+                self.interval_at += (now - self.interval_at) / INTERVAL * INTERVAL;
+            }
+        }
+    }
+
+    /// Whether a try may go within the quota: told unit by unit, by the bucket; else by its slice as well.
+    pub fn covers(&self, now: Micros, units: f64, news: News) -> bool {
+        let most_open = (f64::from(self.terms.open) * self.share(now, news)).round().max(1.0);
+        let store = if news == News::Told { self.level } else { self.level.min(self.credit) };
+        (self.terms.rate == 0.0 || store >= units)
+            && (self.terms.open == 0 || f64::from(self.open) <= most_open)
+    }
+
+    /// How long until an unused customer is as good as new: its stores have filled again.
+    pub fn idle_after(&self) -> Micros {
+        let (p, fill) = (&self.terms, |most: f64, rate: f64| if rate > 0.0 { most / rate } else { 0.0 });
+        let quota = fill(p.burst * (1.0 + DEBT_OF_BURST), p.rate) * self.spread as f64;
+        let ceiling = fill(p.ceiling_burst + p.ceiling_slack, p.ceiling_rate);
+        ((quota.max(ceiling) + 1.0) * 1e6) as Micros
+    }
+
+    /// Takes news of the demand; at its onset gateways start at odds, so that their firsts do not all go.
+    pub fn learn(&mut self, now: Micros, demand: f64, phase: f64) {
+        if self.demand(now) <= 1.0 && demand > 1.0 {
+            self.credit = self.credit.min(phase);
+        }
+        self.demand = demand;
+        self.demand_at = now;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 //!     spread: 1,
 //!     first: 0,
 //!     repeat: false,
+//!     coming: false,
 //! };
 //! gateway.handle(1_000, request, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
@@ -75,6 +76,7 @@
 mod api;
 mod check;
 mod choice;
+mod customers;
 mod parts;
 mod servers;
 
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -70,6 +70,7 @@
         spread: 0,
         first: 9,
         repeat: false,
+        coming: false,
     };
     assert!(refused(&rig.event(request(3, 0, 1.0))));
     assert!(refused(&rig.event(request(0, 3, 1.0))));
@@ -104,3 +105,30 @@
     let actions = rig.outcome(id, 0, server, Status::ConnectFailed);
     assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
 }
+
+/// A body that is still coming is no work of any server, and its request is not timed; both begin with its end.
+#[test]
+fn a_request_whose_body_is_coming_is_not_timed_until_it_has_come() {
+    let mut rig = Rig::new(settings(), &[entry(1, 0)]);
+    let id = RequestId(900);
+    let actions = rig.event(Event::Request {
+        id,
+        class: 0,
+        plan: 0,
+        customer: CustomerId(5),
+        patience: 300 * MS,
+        units: 1.0,
+        spread: 2,
+        first: 0,
+        repeat: false,
+        coming: true,
+    });
+    assert_eq!(sent(&actions), Some(ServerId(1)));
+    assert!(rig.run_to(rig.now + 3 * S).iter().all(|(_, a)| !matches!(a, Action::Refuse { .. })));
+    rig.event(Event::Came { id });
+    let came = rig.now;
+    let done = rig.run_to(came + S);
+    let answered: Vec<_> = done.iter().filter(|(_, a)| matches!(a, Action::Refuse { .. })).collect();
+    assert_eq!(answered.len(), 1);
+    assert!((280 * MS..=300 * MS).contains(&(answered[0].0 - came)));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,6 +110,7 @@
             spread: 2,
             first: 0,
             repeat: false,
+            coming: false,
         });
         (id, actions)
     }
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -264,6 +264,7 @@
         spread: 2,
         first: 0,
         repeat: false,
+        coming: false,
     });
     assert_eq!(sent(&other), Some(ServerId(1)));
     rig.run_to(rig.now + 10 * S);
--- a/tests/legal_orders.rs
+++ b/tests/legal_orders.rs
@@ -152,6 +152,7 @@
                     spread: 2,
                     first: 0,
                     repeat: false,
+                    coming: false,
                 });
             }
             Step::End { pick, status } => {
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -25,6 +25,7 @@
         spread,
         first: 0,
         repeat: false,
+        coming: false,
     }
 }
 
