Hand listener and module state to the process that follows

Symptom: in the windows of an upgrade 15 to 23% of the units are over quota. Both processes decide, the new one with stores that start full or are taken as spent. Now it starts with what the old one knows, from the moment it says yes, and accepts on the old one's own listener, so that nobody who waits there is turned away. The old one closes idle server connections.

Tests: two processes over loopback, one that dies half-way, a quota that outlives its process; the module's text, whole and spoilt.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -207,6 +207,23 @@
         self.handle(Event::Peer { from, data });
     }
 
+    /// What the module knows, for the process that follows.
+    pub fn hand_over(&self) -> String {
+        self.inner.borrow_mut().gateway.hand_over()
+    }
+
+    /// Tells the module what the process before has handed over.
+    pub fn take_over(&self, state: &str) {
+        if let Err(e) = self.inner.borrow_mut().gateway.take_over(self.clock.now(), state) {
+            eprintln!("the module starts anew: {e}");
+        }
+    }
+
+    /// Closes connections to servers on which nothing is open.
+    pub fn close_idle(&self) {
+        self.upstream.close_idle();
+    }
+
     /// The figures that operators read.
     pub fn figures(&self) -> String {
         self.counts.text(self.inner.borrow().gateway.pool(self.clock.now()))
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -198,6 +198,7 @@
     accepted: Cell<Instant>,
     complained: Cell<Option<Instant>>,
     stopping: Cell<bool>,
+    gave_way: Cell<bool>,
     freed: Notify,
 }
 
@@ -224,6 +225,7 @@
             accepted: Cell::new(Instant::now()),
             complained: Cell::new(None),
             stopping: Cell::new(false),
+            gave_way: Cell::new(false),
             freed: Notify::new(),
         })
     }
@@ -291,7 +293,12 @@
 
     /// Whether clients that come are taken in.
     pub fn accepting(&self) -> bool {
-        !self.stopping.get()
+        !self.stopping.get() && !self.gave_way.get()
+    }
+
+    /// Whether another process takes clients in from now on.
+    pub fn give_way(&self, gave: bool) {
+        self.gave_way.set(gave);
     }
 
     /// From now on connections end with their current request, and idle ones end at once.
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod ops;
 mod peers;
 mod stream;
+mod takeover;
 mod upstream;
 mod wire;
 
@@ -21,6 +22,7 @@
 use crate::front::Front;
 use crate::ops::Ops;
 use crate::peers::Peers;
+use crate::takeover::Inheritance;
 use crate::upstream::Upstream;
 use frostgauge::{Gateway, ListKind, Reports};
 use std::error::Error;
@@ -134,7 +136,25 @@
     let watch = Watch::new(agents, config.names.clone(), config.known.index);
     tokio::task::spawn_local(watch.run(core.clone()));
 
-    let listener = bound("listen", || async { listen(config.listen) }).await?;
+    let inherited = match takeover::place(config.listen) {
+        Some(place) => takeover::inherit(&place).await,
+        None => None,
+    };
+    // Held for as long as this process lives.
+    let (listener, _held) = match inherited {
+        Some(Inheritance { listener, state, held }) => {
+            core.take_over(&state);
+            (listener, Some(held))
+        }
+        None => (bound("listen", || async { listen(config.listen) }).await?, None),
+    };
+    let post = takeover::place(listener.local_addr()?).and_then(|place| match takeover::post(&place) {
+        Ok(post) => Some(post),
+        Err(e) => {
+            eprintln!("no process can take over but by listening beside this one: {e}");
+            None
+        }
+    });
     tokio::task::spawn_local(reread(hangup, agent, counter));
     let held = config.memory / HELD_PART;
     let front = Front::new(core.clone(), config.settings, config.names, clients, config.most_units, held);
@@ -143,14 +163,35 @@
     if let Some(at) = config.ops {
         let listener = bound("ops", || TcpListener::bind(at)).await?;
         eprintln!("{} answers operators on {}", config.name, listener.local_addr()?);
-        tokio::task::spawn_local(Ops::new(front.clone(), core).run(listener));
+        tokio::task::spawn_local(Ops::new(front.clone(), core.clone()).run(listener));
     }
-    tokio::select! {
-        () = front.accept(&listener) => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut told = std::pin::pin!(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    });
+    let followed = loop {
+        let mut heir = tokio::select! {
+            () = front.accept(&listener) => break false,
+            () = &mut told => break false,
+            heir = takeover::called(post.as_ref()) => heir,
+        };
+        front.give_way(true);
+        let lost = tokio::select! {
+            lost = takeover::give_way(&mut heir, &listener, &core) => lost,
+            () = &mut told => break true,
+        };
+        eprintln!("the process that was to follow is gone, this one goes on: {lost}");
+        front.give_way(false);
+    };
+    if followed {
+        // Whoever comes is the other process's, at the same listener.
+        front.stop();
+        see_out(&front, Instant::now()).await;
+    } else {
+        stop(&front, listener).await;
     }
-    stop(&front, listener).await;
     eprintln!("{} stopped", config.name);
     Ok(())
 }
@@ -200,6 +241,11 @@
     }
     front.accept_rest(&listener).await;
     drop(listener);
+    see_out(front, start).await;
+}
+
+/// Waits until no client is left, and closes those who have nothing open.
+async fn see_out(front: &Rc<Front>, start: Instant) {
     // What came last may have its request on the way; give it a moment before idle connections close.
     let end = start + STOP_MOST;
     let late = async {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -175,6 +175,11 @@
         self.servers.borrow().get(&server).is_some_and(|s| s.state == State::Ready)
     }
 
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.servers.borrow_mut().values_mut().for_each(|server| server.idle.clear());
+    }
+
     /// Closes connections that have been idle too long.
     pub fn retire(&self) {
         for server in self.servers.borrow_mut().values_mut() {
--- a/gateway/tests/loopback/main.rs
+++ b/gateway/tests/loopback/main.rs
@@ -8,3 +8,4 @@
 mod rig;
 mod servers;
 mod size;
+mod takeover;
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -304,6 +304,14 @@
 
 static FILES: AtomicUsize = AtomicUsize::new(0);
 
+/// A new folder for a gateway's processes, with so short a name that a socket fits in it.
+pub fn folder() -> PathBuf {
+    let name = format!("tallylb-{}-{}", std::process::id(), FILES.fetch_add(1, Ordering::SeqCst));
+    let path = std::env::temp_dir().join(name);
+    std::fs::create_dir(&path).unwrap();
+    path
+}
+
 /// Starts the program with a configuration.
 pub fn launch(text: &str) -> Child {
     launch_within(text, 1_024)
@@ -312,7 +320,7 @@
 /// The same with at most so many descriptors, whatever the configuration says.
 fn launch_within(text: &str, descriptors: u32) -> Child {
     let path = file(text);
-    launch_from(&path, descriptors)
+    launch_from(&path, descriptors, None)
 }
 
 /// A new file with this configuration.
@@ -323,9 +331,10 @@
     path
 }
 
-fn launch_from(path: &Path, descriptors: u32) -> Child {
+fn launch_from(path: &Path, descriptors: u32, folder: Option<&Path>) -> Child {
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_tallylb"))]);
+    command.env_remove("TMPDIR").envs(folder.map(|folder| ("TMPDIR", folder)));
     command.env("GW_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
@@ -351,8 +360,17 @@
 
     /// The same with at most so many descriptors.
     pub fn start_within(config: &Value, descriptors: u32) -> Gateway {
+        Gateway::start_with(config, descriptors, None)
+    }
+
+    /// The same with a folder for what it leaves to the process that takes its place.
+    pub fn start_in(config: &Value, folder: &Path) -> Gateway {
+        Gateway::start_with(config, 1_024, Some(folder))
+    }
+
+    fn start_with(config: &Value, descriptors: u32, folder: Option<&Path>) -> Gateway {
         let file = file(&config.to_string());
-        let mut child = launch_from(&file, descriptors);
+        let mut child = launch_from(&file, descriptors, folder);
         let log = BufReader::new(child.stderr.take().unwrap());
         let (sender, lines) = channel();
         thread::spawn(move || {
@@ -404,6 +422,12 @@
         self.signal("-TERM");
     }
 
+    /// Ends it with no warning.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- /dev/null
+++ b/gateway/tests/loopback/takeover.rs
@@ -0,0 +1,83 @@
+//! One process takes the place of another.
+
+use crate::rig::*;
+use serde_json::{json, Value};
+use std::path::Path;
+
+/// A gateway before one server, and the configuration of the process that follows it at the same address.
+fn first(server: &Server, folder: &Path) -> (Gateway, Agent, Value) {
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut config = config(&agent, &known);
+    config["ops"] = json!("127.0.0.1:0");
+    let gateway = Gateway::start_in(&config, folder);
+    config["listen"] = json!(gateway.address.to_string());
+    (gateway, agent, config)
+}
+
+/// Who comes is the new process's from its yes on, and a request that is open is seen out by the old one.
+#[test]
+fn clients_go_to_the_process_that_follows() {
+    let server =
+        Server::start(|n| if n == 1 { Does::Hangs } else { Does::Answers("200 OK", b"done".to_vec()) });
+    let folder = folder();
+    let (old, _agent, config) = first(&server, &folder);
+    let old_ops = old.ops();
+    let (mut kept, mut busy) = (old.client(), old.client());
+    assert_eq!(kept.call(&status()).status(), 200);
+    server.request();
+    busy.write(&payout("held"));
+    server.request();
+    let new = Gateway::start_in(&config, &folder);
+    let new_ops = new.ops();
+    assert_eq!(operator(new_ops, "/admin/health").status(), 200);
+    assert_eq!(operator(old_ops, "/admin/health").status(), 503);
+    for _ in 0..9 {
+        assert_eq!(new.client().call(&status()).status(), 200);
+    }
+    let figures = String::from_utf8(operator(new_ops, "/admin/stats").body).unwrap();
+    assert!(figures.contains("{kind=\"claim-status\",result=\"ok\"} 9\n"), "{figures}");
+    old.terminate();
+    assert_eq!(busy.answer().expect("a request that was open got no answer").status(), 502);
+    assert!(kept.answer().is_none(), "an idle connection stays open");
+    assert!(old.wait().success());
+    // It gives way in turn.
+    let third = Gateway::start_in(&config, &folder);
+    new.terminate();
+    assert!(new.wait().success());
+    assert_eq!(third.client().call(&status()).status(), 200);
+}
+
+/// If the process that was to follow dies before the old one was told to stop, the old one goes on.
+#[test]
+fn the_old_process_goes_on_if_the_new_one_dies() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let folder = folder();
+    let (old, _agent, config) = first(&server, &folder);
+    Gateway::start_in(&config, &folder).kill();
+    old.logged("this one goes on");
+    assert_eq!(old.client().call(&status()).status(), 200);
+    old.kill();
+    // What a killed process leaves behind is no process to take over from.
+    let next = Gateway::start_in(&config, &folder);
+    assert_eq!(next.client().call(&status()).status(), 200);
+}
+
+/// What was used of a quota is not granted again by the process that follows.
+#[test]
+fn a_quota_outlives_the_process() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let folder = folder();
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut config = config(&agent, &known);
+    config["settings"]["plans"][0]["rate"] = json!(0.001);
+    config["settings"]["plans"][0]["depth"] = json!(4.0);
+    let old = Gateway::start_in(&config, &folder);
+    config["listen"] = json!(old.address.to_string());
+    let mut client = old.client();
+    assert_eq!((client.call(&status()).status(), client.call(&status()).status()), (200, 200));
+    assert_eq!(client.call(&status()).status(), 429);
+    let new = Gateway::start_in(&config, &folder);
+    assert_eq!(new.client().call(&status()).status(), 429, "the store is full again");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,11 @@
 //! Every decision of the gateway; the interface, types only, is `src/api.rs`. The ordinary path is a pacer
 //! for each customer (`src/customers.rs`).
 
+#[path = "handover.rs"]
+mod handover;
+
+pub use handover::HandoverError;
+
 use crate::api::*;
 use crate::customers::{Customer, News, DEBT_OF_BURST, MEMORY_S, NEWS_LAG};
 use crate::parts::{fade, read, seconds, write, Dice, Line, Rate, LINES};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,4 +81,4 @@
 mod servers;
 
 pub use api::*;
-pub use choice::Gateway;
+pub use choice::{Gateway, HandoverError};
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -77,8 +77,8 @@
 /// A rate in units a second that fades over a horizon of some seconds.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Rate {
-    value: f64,
-    at: Micros,
+    pub value: f64,
+    pub at: Micros,
 }
 
 impl Rate {
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,54 @@
+//! What one process leaves to the next.
+
+mod common;
+use common::*;
+use frostgauge::*;
+
+/// A gateway that has just started, with the same servers.
+fn fresh(servers: &[Entry]) -> Rig {
+    Rig::new(settings(), servers)
+}
+
+#[test]
+fn use_and_verdicts_outlive_the_process() {
+    let servers = [entry(1, 0), entry(2, 0), entry(3, 0)];
+    let mut old = fresh(&servers);
+    let dead = |s| if s == ServerId(1) { Status::ConnectFailed } else { Status::Ok };
+    (0..10).for_each(|k| drop(old.play(100 + k, dead)));
+    // A plan's burst is four.
+    (0..4).for_each(|_| drop(old.play(5, |_| Status::Ok)));
+    let text = old.gateway.hand_over();
+    let mut new = fresh(&servers);
+    assert!(
+        sent(&fresh(&servers).request(0, 5, 2 * S).1).is_some(),
+        "to a process that knows nothing it is new"
+    );
+    new.gateway.take_over(S, &text).expect("its own text");
+    assert_eq!(new.gateway.pool(S), (3, 1));
+    assert_eq!(sent(&new.request(0, 5, 2 * S).1), None);
+    assert!(sent(&new.request(0, 6, 2 * S).1).is_some(), "another customer is none the worse");
+}
+
+/// A text of another version, cut short or senseless is left, and leaves nothing behind.
+#[test]
+fn what_cannot_be_read_changes_nothing() {
+    let mut old = fresh(&[entry(1, 0)]);
+    (0..4).for_each(|_| drop(old.play(5, |_| Status::Ok)));
+    let text = old.gateway.hand_over();
+    let line = text.lines().count();
+    let bad = [
+        (String::new(), 1),
+        (text.replacen("-1", "-0", 1), 1),
+        (text.replacen("customer 5 0 ", "customer 5 7 ", 1), line),
+        (text.replacen("customer 5 0 ", "customer 5 0 0 ", 1), line),
+        (text.replacen("customer", "client", 1), line),
+        (text.trim_end().rsplit_once(' ').expect("words").0.to_owned(), line),
+        (text.replacen("server 1 1 ", "server 1 NaN ", 1), 3),
+    ];
+    for (text, line) in bad {
+        let mut new = fresh(&[entry(1, 0)]);
+        let read = new.gateway.take_over(S, &text).map_err(|e| e.line);
+        assert_eq!(read, Err(line), "{text}");
+        assert!(sent(&new.request(0, 5, 2 * S).1).is_some());
+    }
+}
