Let the connection silent longest give way in a crowd, and a head take 2.5 s

Now the one not heard of for longest goes, and a head has 2.5 s, so that with a look every 250 ms a peer that brings nothing is still closed within 3 s.

The test fails without the change.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -37,7 +37,8 @@
 /// How often accept errors are worth a line of the log.
 const COMPLAIN_EVERY: Duration = Duration::from_secs(5);
 /// How long a client may take from its connection, or from its first byte later on, to a whole request.
-const ARRIVE_MOST: Duration = Duration::from_millis(2_000);
+/// A true one may need 2 s; one that never brings a request is closed within 3 s.
+const ARRIVE_MOST: Duration = Duration::from_millis(2_500);
 /// How long a connection may stand idle once a request of it was taken up.
 const IDLE_MOST: Duration = Duration::from_secs(15);
 /// A client that means to ask something has begun to by then.
@@ -263,16 +264,17 @@
         }
     }
 
-    /// Closes a connection without a request in work: one that has brought none, or else the one idle longest.
+    /// Closes a connection without a request in work: of those that have brought none the one that was silent
+    /// longest, since a slow one that means to goes on writing, or else the one idle longest.
     /// While many have had no time yet to bring one, the usual ones are spared and the call does nothing.
     fn shed(&self) {
         let clients = self.clients.borrow();
         let idle = || clients.values().filter(|c| c.idle() && !c.leaving.get());
         let silent =
-            idle().filter(|c| !c.asked.get() && c.since.get().elapsed() > SETTLED && !c.wire.unread());
+            idle().filter(|c| !c.asked.get() && c.wire.heard().elapsed() > SETTLED && !c.wire.unread());
         let fresh = idle().filter(|c| !c.asked.get()).count();
         let usual = idle().filter(|c| c.asked.get() && fresh * 4 < self.most && !c.wire.unread());
-        let oldest = silent.min_by_key(|c| c.since.get()).or_else(|| usual.min_by_key(|c| c.since.get()));
+        let oldest = silent.min_by_key(|c| c.wire.heard()).or_else(|| usual.min_by_key(|c| c.since.get()));
         if let Some(client) = oldest {
             client.shed();
         }
--- a/gateway/src/wire.rs
+++ b/gateway/src/wire.rs
@@ -90,6 +90,8 @@
     answering: Cell<bool>,
     /// When the client last took something.
     wrote: Cell<Instant>,
+    /// When the client was last heard of.
+    heard: Cell<Instant>,
 }
 
 impl Wire {
@@ -101,6 +103,7 @@
             began: Cell::new(None),
             answering: Cell::new(false),
             wrote: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
         })
     }
 
@@ -119,6 +122,11 @@
         self.wrote.get()
     }
 
+    /// When bytes last came, or the connection did.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
     /// The framing of the request whose head was just read; `None` if its head's start is not known.
     pub fn framing(&self) -> Option<Framing> {
         let state = self.state.borrow();
@@ -184,6 +192,7 @@
             let data = &buf.filled()[before..];
             let mut state = self.0.state.borrow_mut();
             state.ended |= data.is_empty();
+            self.0.heard.set(Instant::now());
             state.scan.read(data);
             if self.0.began.get().is_none() && state.scan.place != Place::Between {
                 self.0.began.set(Some(Instant::now()));
--- a/gateway/tests/loopback/clients.rs
+++ b/gateway/tests/loopback/clients.rs
@@ -114,6 +114,28 @@
     assert_eq!(idle[99].call(&status()).status(), 200);
 }
 
+/// In a crowd that never asks anything, who writes slowly goes on while those who wrote nothing give way.
+#[test]
+fn a_slow_client_outlives_a_silent_crowd() {
+    let server = Server::start(|_| ok());
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut small = config(&agent, &known);
+    small["limits"]["sockets"] = json!(80);
+    let gateway = Gateway::start(&small);
+    let request = status();
+    let mut slow = gateway.client();
+    let mut crowd: Vec<Client> = Vec::new();
+    for piece in request.as_bytes().chunks(request.len().div_ceil(4)) {
+        slow.write_bytes(piece);
+        // Its piece came before this call, so it has been read by the answer.
+        assert_eq!(gateway.client().call(&status()).status(), 200);
+        crowd.extend((0..12).map(|_| gateway.client()));
+    }
+    assert_eq!(slow.answer().expect("the slow client was closed").status(), 200);
+    assert!(crowd[0].answer().is_none(), "the first of the crowd is still open");
+}
+
 /// A machine that allows fewer descriptors than it says: accepting fails, and the gateway lives through it.
 #[test]
 fn running_out_of_descriptors_sheds_idle_connections() {
