After a failed watch go on from the known version, and draw pauses by the fleet

At fault in discovery.rs: `run` forgot its version after any failure, though a watch from it tells all that is newer; SILENT gave a call in line 1 s; BACKOFF was the same 20 to 500 ms at any size and without chance. The test of the failed watch and that of the pauses fail without it.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -18,10 +18,16 @@
 
 /// How long a watch may wait: short, since what a silent agent holds back counts as told 2 s after the wait.
 const WAIT: Duration = Duration::from_millis(4_000);
-/// A call without an answer so long after its wait has failed.
+/// A watch without an answer so long after its wait has failed.
 const SILENT: Duration = Duration::from_millis(1_000);
-/// The pause after a failed call: first, and at most.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// A call for the whole list may stand in line behind every other gateway's; one given up is worked on all the
+/// same, so giving up early wins nothing.
+const QUEUED: Duration = Duration::from_millis(4_000);
+/// The pause after a failed call: first, and at most, for each gateway of the fleet. All of them share one
+/// service, so the more there are, the more seldom each may ask again.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(60));
+/// The longest pause of a small fleet, and of any: what discovery tells must not be learnt much later.
+const BACKOFF_MOST: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(4_000));
 /// Largest list taken in.
 const LIST_MOST: usize = 4 << 20;
 
@@ -125,6 +131,36 @@
 
 type Sender = http1::SendRequest<Empty<Bytes>>;
 
+/// The pauses between failed calls: they double, and are drawn anew each time, since gateways that failed
+/// together would else come again together.
+struct Pauses {
+    rng: fastrand::Rng,
+    first: Duration,
+    most: Duration,
+    next: Duration,
+}
+
+impl Pauses {
+    fn new(gateways: usize, seed: u64) -> Pauses {
+        let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+        let most = BACKOFF.1.saturating_mul(gateways).clamp(BACKOFF_MOST.0, BACKOFF_MOST.1);
+        let first = BACKOFF.0.saturating_mul(gateways).min(most);
+        Pauses { rng: fastrand::Rng::with_seed(seed), first, most, next: first }
+    }
+
+    /// A call was answered: the next failure is the first again.
+    fn reset(&mut self) {
+        self.next = self.first;
+    }
+
+    /// Half to all of the pause that is due.
+    fn draw(&mut self) -> Duration {
+        let due = self.next;
+        self.next = (due * 2).min(self.most);
+        due.mul_f64(0.5 + 0.5 * self.rng.f64())
+    }
+}
+
 /// A watch on the list of servers.
 pub struct Watch {
     agents: watch::Receiver<SocketAddr>,
@@ -132,46 +168,64 @@
     names: Names,
     sender: Option<Sender>,
     index: Option<u64>,
+    pauses: Pauses,
+    failing: bool,
 }
 
 impl Watch {
-    /// A watch that goes on from the list known at the start, at the agent named last.
-    pub fn new(mut agents: watch::Receiver<SocketAddr>, names: Names, index: u64) -> Watch {
+    /// A watch that goes on from the list known at the start, at the agent named last, in a fleet of so many.
+    pub fn new(
+        mut agents: watch::Receiver<SocketAddr>,
+        names: Names,
+        index: u64,
+        gateways: usize,
+        seed: u64,
+    ) -> Watch {
         let agent = *agents.borrow_and_update();
-        Watch { agents, agent, names, sender: None, index: Some(index) }
+        let pauses = Pauses::new(gateways, seed);
+        Watch { agents, agent, names, sender: None, index: Some(index), pauses, failing: false }
     }
 
-    /// Watches for ever, at once at another agent when one is named. A failed call leaves the list as it is;
-    /// the next asks for the whole list, since changes may have been missed.
+    /// Watches for ever, at once at another agent when one is named. A failed call leaves the list as it is, and
+    /// its version too: the next watch tells all that is newer. The whole list costs discovery far more, and is
+    /// asked for only where no version can be told.
     pub async fn run(mut self, core: Rc<Core>) {
         let mut agents = self.agents.clone();
-        let mut pause = BACKOFF.0;
         loop {
             let called = tokio::select! {
                 called = self.call() => called,
                 agent = next(&mut agents) => {
                     // The call in progress ended with its future; another agent counts versions of its own.
                     (self.agent, self.sender, self.index) = (agent, None, None);
-                    pause = BACKOFF.0;
+                    self.pauses.reset();
                     continue;
                 }
             };
             match called {
                 Ok(listing) => {
-                    pause = BACKOFF.0;
+                    self.pauses.reset();
+                    self.failing = false;
                     self.index = Some(listing.index);
                     let kind = if listing.whole { ListKind::Full } else { ListKind::Delta };
                     core.servers(kind, listing.members);
                 }
                 Err(e) => {
-                    if pause == BACKOFF.0 {
+                    if !std::mem::replace(&mut self.failing, true) {
                         eprintln!("discovery: {e}; the old list stays in use");
                     }
-                    (self.sender, self.index) = (None, None);
+                    self.sender = None;
+                    // What cannot be read, or is refused for good, may be so because of the version.
+                    if matches!(e, WatchError::Malformed(_) | WatchError::Status(400..=499)) {
+                        self.index = None;
+                    }
                     core.servers(ListKind::Failed, Vec::new());
+                    let pause = self.pauses.draw();
                     tokio::select! {
-                        () = sleep(pause) => pause = (pause * 2).min(BACKOFF.1),
-                        agent = next(&mut agents) => (self.agent, pause) = (agent, BACKOFF.0),
+                        () = sleep(pause) => {}
+                        agent = next(&mut agents) => {
+                            (self.agent, self.index) = (agent, None);
+                            self.pauses.reset();
+                        }
                     }
                 }
             }
@@ -183,7 +237,7 @@
             Some(index) => {
                 (format!("/catalog/members?index={index}&wait={}", WAIT.as_millis()), WAIT + SILENT)
             }
-            None => ("/catalog/members".to_owned(), SILENT),
+            None => ("/catalog/members".to_owned(), QUEUED),
         };
         let body = timeout(limit, self.get(&path)).await.map_err(|_| WatchError::Silent)??;
         let list = serde_json::from_slice(&body).map_err(|_| WatchError::Malformed("the answer"))?;
@@ -215,3 +269,27 @@
         Ok(sender)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{Pauses, BACKOFF, BACKOFF_MOST};
+
+    /// Together the gateways of a fleet ask discovery about as often as a few do, and not in step.
+    #[test]
+    fn pauses_grow_with_the_fleet_and_differ_among_its_gateways() {
+        let drawn = |gateways, seed| {
+            let mut pauses = Pauses::new(gateways, seed);
+            (0..12).map(|_| pauses.draw()).collect::<Vec<_>>()
+        };
+        for few in drawn(2, 1) {
+            assert!(few >= BACKOFF.0 && few <= BACKOFF_MOST.0, "{few:?}");
+        }
+        let (one, other) = (drawn(100, 1), drawn(100, 2));
+        assert!(one[0] >= BACKOFF.0 * 50 && one.iter().all(|p| *p <= BACKOFF_MOST.1), "{one:?}");
+        assert!(one.iter().zip(&other).all(|(a, b)| a != b), "in step: {one:?}");
+        let mut pauses = Pauses::new(100, 1);
+        while pauses.draw() < BACKOFF_MOST.1 / 2 {}
+        pauses.reset();
+        assert!(pauses.draw() <= BACKOFF.0 * 100);
+    }
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -133,7 +133,8 @@
         tokio::task::spawn_local(peers.run(core.clone()));
     }
     let (agent, agents) = watch::channel(config.discovery);
-    let watch = Watch::new(agents, config.names.clone(), config.known.index);
+    let watch =
+        Watch::new(agents, config.names.clone(), config.known.index, config.settings.gateways, config.seed);
     tokio::task::spawn_local(watch.run(core.clone()));
 
     let inherited = match takeover::place(config.listen) {
--- a/gateway/tests/loopback/discovery.rs
+++ b/gateway/tests/loopback/discovery.rs
@@ -35,9 +35,10 @@
     }
 }
 
-/// While discovery fails the old list serves; afterwards the whole list counts, as changes may have been missed.
+/// While discovery fails the old list serves. Every gateway of a fleet fails at such a time: none may ask for
+/// the whole list then, the dearest call there is, as its version still tells what it lacks.
 #[test]
-fn a_failed_watch_keeps_the_list_and_then_takes_the_whole_one() {
+fn a_failed_watch_keeps_the_list_and_goes_on_from_its_version() {
     let (first, second) = (named("first"), named("second"));
     let (gateway, agent) = Gateway::before(&[("s-1", &first, "room-a")]);
     let mut client = gateway.client();
@@ -45,6 +46,7 @@
     assert_eq!(client.call(&status()).body, b"first");
     agent.recover(vec![entry("s-2", second.address, "room-a", "ready")]);
     assert_eq!(client.call(&status()).body, b"second");
+    assert!(!agent.gave_all(), "the whole list was asked for");
 }
 
 /// A message is told by its sender's address; strangers and long datagrams change nothing.
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -214,10 +214,10 @@
             }
             let (status, body) = match index {
                 _ if list.failing => ("500 Failing", json!({})),
-                None => ("200 OK", json!({"index": list.index, "snapshot": true, "endpoints": list.members})),
-                Some(_) => {
+                Some(index) if index + 1 == list.index => {
                     ("200 OK", json!({"index": list.index, "snapshot": false, "endpoints": list.changed}))
                 }
+                _ => ("200 OK", json!({"index": list.index, "snapshot": true, "endpoints": list.members})),
             };
             drop(list);
             let body = body.to_string();
@@ -256,10 +256,19 @@
         self.until("for what follows a change", |l| l.calls.iter().any(|c| c.contains(&told)));
     }
 
-    /// Answers with errors until told otherwise; waits until the gateway has asked for the whole list.
+    /// Answers with errors until told otherwise; waits until the gateway has asked again.
     pub fn fail(&self) {
-        self.set(|list| list.failing = true);
-        self.until("for the whole list", |l| l.calls.iter().any(|c| !c.contains("index=")));
+        let mut asked = 0;
+        self.set(|list| {
+            list.failing = true;
+            asked = list.calls.len();
+        });
+        self.until("again after an error", |l| l.calls.len() > asked + 1);
+    }
+
+    /// Whether the gateway has ever asked for the whole list.
+    pub fn gave_all(&self) -> bool {
+        self.list.0.lock().unwrap().calls.iter().any(|c| !c.contains("index="))
     }
 
     /// Works again, with another list; waits until the gateway watches from there.
@@ -271,7 +280,7 @@
             list.members = members;
             told = format!("index={}&", list.index);
         });
-        self.until("for what follows the whole list", |l| l.calls.iter().any(|c| c.contains(&told)));
+        self.until("for what follows the new list", |l| l.calls.iter().any(|c| c.contains(&told)));
     }
 }
 
