Let each of many gateways send in turn to its own part of the servers

In calm spells of 4.5 s servers got 17 to 52 requests, the most burdened at twice the median time, while 60% of the capacity was in use; strain then refused a third of the tries. Ruled out: broken or expired connections (0 written to closed ones), the release (it begins at 10 s, the loss at 5 s). At fault in choice.rs: `pick` drew three of all servers anew for each request and took the one whose time per request was least, which a server not yet used (START_ITEM_US) always wins; one gateway sees a server once in twelve seconds. Now its part is so large that 16 gateways share a server, begins at a place of its own on the list, and is used in turn by each server's time; fleets of up to 16 gateways look at all servers, as those of up to 3 did. The test in many.rs fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 use crate::customers::{Customer, News, DEBT_OF_BURST, MEMORY_S, NEWS_LAG};
 use crate::parts::{fade, read, seconds, write, Dice, Line, Rate, LINES};
 use crate::servers::{ejected, Patience, Server, REPORT_S};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 // Pacing.
 const HOLD_OF_AIM: f64 = 0.15; // most of the aim that a hold may use; the answer needs the rest
@@ -43,7 +43,9 @@
 // Servers.
 
 const UNSEEN_RETRY: f64 = 0.25; // of a further attempt: what was turned away unseen cost no work
-const CHOICES: usize = 3; // servers looked at when many gateways share the fleet, so that they do not herd
+const AMONG: usize = 16; // gateways that send to a server, where there are so many, so that they even out
+const GOLDEN: f64 = 0.618_033_988_749_895; // its multiples lie evenly between 0 and 1, however many
+const LEAST_PART: usize = 3; // servers of such a part, so that there is a choice
 const START_ITEM_US: f64 = 40_000.0; // µs; time per request held before any was seen; soon replaced
 const ITEM_GAIN: f64 = 0.1; // weight of one answer in a server's time per request held
 const FULL: (Micros, u32) = (100_000, 6); // µs; a server full to a plan is left alone; doublings
@@ -115,7 +117,6 @@
     patience: Patience,
     out_now: u32,
     retries: f64,
-    recent: VecDeque<ServerId>,
     dice: Dice,
     metered: Micros,
     mail: f64,
@@ -128,6 +129,7 @@
     call_share: f64,
     changed: BTreeSet<CustomerId>,
     begun: bool,
+    turn: f64,
 }
 
 impl Gateway {
@@ -254,32 +256,26 @@
         }
     }
 
-    /// The best server for a request's next attempt, and how long it should take to answer. Among many
-    /// gateways, the best of a few drawn: those with the same late reports would else all choose alike.
+    /// The best server for a request's next attempt, and how long it should take to answer. One of many
+    /// gateways sends in turn to a part of the servers, its own: spread over all, its few requests would each
+    /// need a new connection, tell little of any server, and pile up by chance. Past servers that may not be
+    /// used it goes on to the next, so that parts stay as large.
     fn pick(&mut self, now: Micros, id: RequestId, again: bool) -> Option<(ServerId, f64)> {
         let r = self.requests.get(&id)?;
         let ready: Vec<ServerId> =
             self.servers.iter().filter(|(_, x)| x.entry.state == State::Ready).map(|(id, _)| *id).collect();
         let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
-        let looks = (ready.len() * CHOICES).div_ceil(self.settings.gateways).max(CHOICES);
-        let many = looks < ready.len();
-        let draws = if many { 4 * looks } else { 0 };
-        let mut order: Vec<_> =
-            (0..draws).map(|_| (self.dice.roll() * ready.len() as f64) as usize).collect();
-        if many {
-            // With the last heard of, and cold ones whose part allows a request.
-            let due = |x: &Server| x.credit >= 1.0 && x.ramp(now, &self.settings.rules) < 1.0;
-            let cold = (0..ready.len()).filter(|k| due(&self.servers[&ready[*k]]));
-            let heard = self.recent.iter().filter_map(|x| ready.binary_search(x).ok());
-            order.splice(looks..looks, heard.chain(cold));
-        }
-        let looks = looks + order.len() - draws;
+        let n = ready.len();
+        let looks = (n * AMONG).div_ceil(self.settings.gateways).max(LEAST_PART).min(n);
+        let part = looks < n;
+        // Gateways begin at places spread evenly over the list, neighbours far apart.
+        let start = if part { ((self.settings.me as f64 * GOLDEN).fract() * n as f64) as usize } else { 0 };
         let (s, r) = (&self.settings, self.requests.get(&id)?);
         let trust = ejected(&self.servers, now) > 0;
         let ran = r.attempts.iter().find(|a| a.may_have_run || a.open);
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|x| (x.entry.zone, x.entry.cell));
         let (mut best, mut seen): (Option<(ServerId, f64, f64)>, usize) = (None, 0);
-        for k in order.into_iter().chain(0..ready.len()) {
+        for k in (start..n).chain(0..start) {
             let (server, x) = (ready[k], &self.servers[&ready[k]]);
             let ramp = x.ramp(now, &s.rules);
             let same_group = home.is_none_or(|(zone, cell)| match effect {
@@ -293,6 +289,10 @@
             let wait = (x.holds(now) + 1.0) * x.item_us / ramp;
             let good = x.success(now);
             let mut score = wait / (good * good).max(1e-3);
+            if part {
+                // One just used waits its turn, as long as it takes: the faster come round sooner.
+                score += (x.turn - self.turn).max(0.0);
+            }
             if x.entry.zone != s.zone {
                 score *= CROSS_ZONE;
             }
@@ -379,6 +379,8 @@
         if let (Some(x), Some(r)) = (self.servers.get_mut(&server), self.requests.get_mut(&id)) {
             let (held, working) = (x.holds(now), !r.coming);
             x.credit -= 1.0;
+            self.turn = self.turn.max(x.turn);
+            x.turn = self.turn + x.item_us;
             let cut = silent.is_some();
             r.attempts.push(Attempt {
                 server,
@@ -482,9 +484,6 @@
         let Some(held) = held.filter(|h| h.is_finite()) else { return };
         x.others = held.max(0.0);
         x.reported = now;
-        self.recent.retain(|r| *r != server);
-        self.recent.push_front(server);
-        self.recent.truncate(CHOICES);
     }
 
     fn outcome(&mut self, now: Micros, id: RequestId, attempt: u32, end: (Status, Micros, bool), out: Out) {
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -29,6 +29,7 @@
     pub ejections: u32,
     pub shut: BTreeMap<usize, (Micros, u32)>,
     pub credit: f64,
+    pub turn: f64,
 }
 
 impl Server {
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use frostgauge::*;
+use std::collections::BTreeSet;
 
 /// One of `n` gateways, seeded by its number, with ten servers listed.
 fn gateway(mut s: Settings, me: usize, n: usize, seed: u64) -> Gateway {
@@ -233,3 +234,28 @@
     }
     assert!(told > 300 && told <= 200 + 6 * 400, "{told}");
 }
+
+/// A gateway's few requests use the same few connections again, and the parts of all cover the servers evenly.
+#[test]
+fn each_of_many_gateways_keeps_to_its_part_of_the_servers() {
+    let (gateways, servers, requests) = (100, 60, 40);
+    let mut got = vec![0; servers];
+    for me in 0..gateways {
+        let mut s = metered();
+        (s.me, s.gateways) = (me, gateways);
+        let mut g = Gateway::new(s, 31 * me as u64 + 7, S).expect("sound settings");
+        let entries = (0..servers as u64).map(|k| entry(k, 0)).collect();
+        g.handle(S, Event::Servers { kind: ListKind::Full, entries }, &mut Vec::new());
+        let mut used = BTreeSet::new();
+        for k in 0..requests {
+            let now = 2 * S + k * 200 * MS;
+            let server = play(&mut g, now, k, 1_000 * me as u64 + k, gateways).expect("sent");
+            served(&mut g, now + 50 * MS, k, server, 0.0);
+            got[server.0 as usize] += 1;
+            used.insert(server);
+        }
+        assert!((6..=12).contains(&used.len()), "gateway {me} uses {used:?}");
+    }
+    let even = gateways * requests as usize / servers;
+    assert!(got.iter().all(|n| (even * 2 / 3..=even * 4 / 3).contains(n)), "{even} would be even: {got:?}");
+}
