Reckon a cold server's budget by what a warm one takes, not by the mean of all

Ruled out: verdicts on the new servers, and the turns (a part's turns give a cold one its ramp's share). At fault in choice.rs: `round` gave each cold server 1.25 times its ramp of the mean of all servers' load; where most are cold, an equal share by ramps is some 1.7 times, so the budget kept the cold ones idle while the warm were overrun. The test fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -763,6 +763,9 @@
         let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count().max(1);
         let (part, warm) = (self.part(ready).max(1) as f64, ready as f64);
         let (sends, rules) = (self.sends.get(now, MEMORY_S), &self.settings.rules);
+        // Where many are cold at once, a warm one takes far more than the mean.
+        let up = self.servers.values().filter(|x| x.entry.state == State::Ready);
+        let part = part * up.map(|x| x.ramp(now, rules)).sum::<f64>().max(1.0) / warm;
         for x in self.servers.values_mut() {
             let pace = COLD_SAFETY * rules.fall_multiple * x.ramp(now, rules) * sends / part;
             let most = (pace * seconds(rules.fall)).max(1.0);
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -98,3 +98,29 @@
     assert_eq!(rig.gateway.pool(rig.now), (2, 0), "what is not avoided is not told as such");
     assert!(!rig.play(500, |_| Status::Ok).is_empty());
 }
+
+/// Where most servers come up cold at once, what they may take is told by what a warm one takes: by the mean of
+/// all, the few warm ones would be left with nearly everything.
+#[test]
+fn many_cold_servers_at_once_take_their_part_from_the_warm_ones() {
+    let all: Vec<Entry> = (1..=60).map(|k| entry(k, 0)).collect();
+    let mut rig = Rig::new(Settings { gateways: 100, ..settings() }, &all);
+    let restarts = |server: u64| server % 10 > 1;
+    let (mut cold, mut total) = (0, 0);
+    for k in 0..600 {
+        rig.run_to(S + k * 10 * MS);
+        if k == 300 {
+            for server in (1..=60).filter(|server| restarts(*server)) {
+                rig.event(delta(Entry { ready_at: rig.now, ..entry(server, 0) }, State::Ready));
+            }
+        }
+        let (id, actions) = rig.request(0, 100 + k, 2 * S);
+        let Some(server) = sent(&actions) else { continue };
+        rig.outcome(id, 0, server, Status::Ok);
+        if k >= 300 {
+            total += 1;
+            cold += usize::from(restarts(server.0));
+        }
+    }
+    assert!(cold * 20 > total * 7, "{cold} of {total}; by the mean of all it would be a third");
+}
