Pass over true units that no request can have

Open point: an Api-Charge above the most units of a request was booked as told, and emptied its customer's store. Checked: text, negative and infinite figures were passed over already; only the bound was missing. At fault in upstream.rs: `charge` took any finite figure above 0. It now holds to the settings' maxUnits, as clients' own units do; the guess stands and the answer goes on. The test fails without it ("21" with a bound of 20).

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -110,7 +110,8 @@
     // and an idle one can always be shed.
     let clients = room / 2;
     let (large, connect) = (config.memory / LARGE_PART, config.connect_timeout);
-    let upstream = Upstream::new(clock, room - clients, large, connect, config.server_idle);
+    let upstream =
+        Upstream::new(clock, room - clients, large, connect, config.server_idle, config.most_units);
     let peers = match config.peer_listen {
         Some(at) => {
             let socket = bound("peers", || Peers::bind(at, config.peers.clone())).await?;
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -115,6 +115,8 @@
     room: Arc<Semaphore>,
     connect_timeout: Duration,
     idle_most: Duration,
+    /// The most units that a request can count.
+    most_units: f64,
     clock: crate::core::Clock,
 }
 
@@ -129,6 +131,7 @@
         room: usize,
         connect_timeout: Duration,
         server_idle: Duration,
+        most_units: f64,
     ) -> Upstream {
         let room = (room / PASSING).max(1);
         Upstream {
@@ -138,6 +141,7 @@
             room: Arc::new(Semaphore::new(room)),
             connect_timeout,
             idle_most: server_idle.mul_f64(IDLE_PART),
+            most_units,
             clock,
         }
     }
@@ -331,7 +335,7 @@
             503 | 504 if head.headers.get(REJECTED).is_some_and(|v| v == "1") => Status::Full,
             _ => Status::Error,
         };
-        let settled = charge(&head.headers).filter(|_| status == Status::Ok);
+        let settled = charge(&head.headers, self.most_units).filter(|_| status == Status::Ok);
         let link = connection.link.clone();
         let upstream = self.clone();
         let done = move || match connection.link.whole() {
@@ -444,10 +448,10 @@
     Some(percent / 100.0).filter(|u| u.is_finite() && *u >= 0.0)
 }
 
-/// The true units of a request; an answer that tells none of them tells nothing.
-fn charge(headers: &HeaderMap) -> Option<f64> {
+/// The true units of a request; an answer that tells none of them, or more than any request has, tells nothing.
+fn charge(headers: &HeaderMap, most: f64) -> Option<f64> {
     let units: f64 = headers.get(CHARGE)?.to_str().ok()?.trim().parse().ok()?;
-    Some(units).filter(|u| u.is_finite() && *u > 0.0)
+    Some(units).filter(|u| *u > 0.0 && *u <= most)
 }
 
 /// A load report; fields go by the names of discovery's side of the wire or by those of the settings.
@@ -479,7 +483,7 @@
     fn the_gateways_own_want_of_room_is_not_the_servers_fault() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let second = Duration::from_secs(1);
-        let upstream = std::rc::Rc::new(Upstream::new(Clock::start(), 0, 0, second, second));
+        let upstream = std::rc::Rc::new(Upstream::new(Clock::start(), 0, 0, second, second, 1.0));
         let entry = Entry { server: ServerId(1), state: State::Ready, ..Entry::default() };
         upstream.update(true, &[Member { address: ([127, 0, 0, 1], 1).into(), entry }]);
         let out = Outgoing {
--- a/gateway/tests/loopback/servers.rs
+++ b/gateway/tests/loopback/servers.rs
@@ -290,6 +290,29 @@
     assert!(other.unread().is_empty());
 }
 
+/// Units that no request can have are not booked: the guess stands, and the answer reaches its client.
+#[test]
+fn true_units_that_cannot_be_true_are_passed_over() {
+    for told in ["21", "1e300", "-4", "inf", "NaN", "many"] {
+        let server = Server::start(move |_| {
+            Does::Answers(["200 OK\r\nApi-Charge: ", told].concat().leak(), b"done".to_vec())
+        });
+        let known = [entry("s-1", server.address, "room-a", "ready")];
+        let agent = Agent::start(known.to_vec());
+        let mut settles = config(&agent, &known);
+        settles["settings"]["familyInfo"]["truedUp"] = json!(true);
+        settles["settings"]["plans"][0]["rate"] = json!(0.001);
+        settles["settings"]["plans"][0]["depth"] = json!(4.0);
+        let gateway = Gateway::start(&settles);
+        let mut client = gateway.client();
+        for _ in 0..2 {
+            let answer = client.call(&status());
+            assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"done"[..]), "{told}");
+        }
+        assert_eq!(client.call(&status()).status(), 429, "{told}");
+    }
+}
+
 /// A guess of one unit that turned out to be four empties a store of four: the quota counts the true units.
 #[test]
 fn the_true_units_of_a_request_are_taken_from_its_quota() {
