--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -501,9 +501,10 @@
             return Err(Fault::Header("idempotency-key"));
         }
         let plan = place(&self.names.plans, "api-plan")?;
-        // A client waits no longer for one try than its class lets it wait for all of them.
+        // A client waits no longer for one try than its class lets it wait for all of them. One with no time left
+        // is refused by the module like any that comes too late.
         let budget = text("x-budget-ms")?.parse().ok();
-        let budget = budget.filter(|ms| (1..=settings.deadline.div_ceil(1_000)).contains(ms));
+        let budget = budget.filter(|ms| (0..=settings.deadline.div_ceil(1_000)).contains(ms));
         let (units, spread, first) = self.api_terms(text("api-terms")?).ok_or(Fault::Header("api-terms"))?;
         Ok(Terms {
             class,
--- a/gateway/tests/loopback/clients.rs
+++ b/gateway/tests/loopback/clients.rs
@@ -73,6 +73,19 @@
     assert_eq!((server.request().start.as_str(), server.unread().len()), ("GET /api?claim=7 HTTP/1.1", 0));
 }
 
+/// A retry that has used up its client's time is a proper request: it is refused at once and goes to no server.
+#[test]
+fn a_request_with_no_time_left_is_refused() {
+    let server = Server::start(|_| ok());
+    let (gateway, _agent) = Gateway::before(&[("s-1", &server, "room-a")]);
+    let mut client = gateway.client();
+    let late = client.call(&status().replace("X-Budget-Ms: 1900", "X-Budget-Ms: 0"));
+    assert!([429, 503].contains(&late.status()), "{}", late.status());
+    assert_eq!(client.call(&status()).status(), 200);
+    server.request();
+    assert!(server.unread().is_empty(), "a request with no time left was sent on");
+}
+
 /// Only keyed requests have a key: one that must never run twice comes without, and goes on as it came.
 #[test]
 fn a_request_that_must_never_run_twice_needs_no_key() {
