Answer whatever is open before SIGKILL may come, by the deadlines of the settings

At fault: main.rs `see_out` ended the process at a fixed STOP_MOST, and nothing told the module that time was up, so requests on hanging servers, with deadlines past 3.5 s, had no answer. The time also began when the loop saw the signal, not with the signal, which start or takeover can delay by seconds. Now the module is told by when all must be answered (Event::Stop): 0.2 s before the longest deadline, 3 s at most, and 0.7 s more have gone by. It fails what may have run and refuses the rest. A signal before anybody listens ends the start. Without the mend the loopback test gets no answer at 3.5 s.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -46,6 +46,10 @@
         self.unix + self.start.elapsed().as_micros() as Micros
     }
 
+    fn at(&self, instant: Instant) -> Micros {
+        self.unix + instant.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
     fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.unix))
     }
@@ -202,6 +206,11 @@
         }
     }
 
+    /// Every request has its final answer by this time.
+    pub fn stop_by(self: &Rc<Self>, by: Instant) {
+        self.handle(Event::Stop { by: self.clock.at(by) });
+    }
+
     /// A message from another gateway.
     pub fn heard(self: &Rc<Self>, from: usize, data: Vec<u8>) {
         self.handle(Event::Peer { from, data });
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -32,7 +32,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UnixStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -48,8 +48,11 @@
 const STILL_COMING: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(200));
 /// By then the listener closes whoever still comes.
 const LISTEN_MOST: Duration = Duration::from_millis(800);
-/// By then the gateway ends, whatever is left: before it would be killed.
-const STOP_MOST: Duration = Duration::from_millis(3_500);
+/// A gateway told to stop is killed once the longest deadline, counted as so much where it is longer, and so
+/// much more have gone by.
+const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
+/// So long before that every request has its final answer, to leave time to write it; and the process has ended.
+const BEFORE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(50));
 /// What the system holds of an answer that a client has not taken.
 const SEND_BUFFER: u32 = 128 << 10;
 /// Connections that may wait to be accepted.
@@ -102,6 +105,16 @@
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    // From here on, so that the time is that of the signal however long the start takes.
+    let mut told = tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Instant::now()
+    });
+    let longest = config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline)).max();
+    let grace = longest.unwrap_or_default().min(KILLED.0) + KILLED.1;
     let hangup = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let gateway = Gateway::new(config.settings.clone(), config.seed, clock.now())?;
@@ -138,17 +151,13 @@
         Watch::new(agents, config.names.clone(), config.known.index, config.settings.gateways, config.seed);
     tokio::task::spawn_local(watch.run(core.clone()));
 
-    let inherited = match takeover::place(config.listen) {
-        Some(place) => takeover::inherit(&place).await,
-        None => None,
-    };
     // Held for as long as this process lives.
-    let (listener, _held) = match inherited {
-        Some(Inheritance { listener, state, held }) => {
-            core.take_over(&state);
-            (listener, Some(held))
-        }
-        None => (bound("listen", || async { listen(config.listen) }).await?, None),
+    let (listener, _held) = tokio::select! {
+        // Who listens may have been asked already, and sees its clients out like any other.
+        biased;
+        listening = begin(&core, config.listen) => listening?,
+        // Nobody was taken in yet, and a process that was to give way goes on.
+        _ = &mut told => return Ok(()),
     };
     let post = takeover::place(listener.local_addr()?).and_then(|place| match takeover::post(&place) {
         Ok(post) => Some(post),
@@ -167,37 +176,47 @@
         eprintln!("{} answers operators on {}", config.name, listener.local_addr()?);
         tokio::task::spawn_local(Ops::new(front.clone(), core.clone()).run(listener));
     }
-    let mut told = std::pin::pin!(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    });
-    let followed = loop {
+    let (followed, told) = loop {
         let mut heir = tokio::select! {
-            () = front.accept(&listener) => break false,
-            () = &mut told => break false,
+            () = front.accept(&listener) => break (false, Ok(Instant::now())),
+            told = &mut told => break (false, told),
             heir = takeover::called(post.as_ref()) => heir,
         };
         front.give_way(true);
         let lost = tokio::select! {
             lost = takeover::give_way(&mut heir, &listener, &core) => lost,
-            () = &mut told => break true,
+            told = &mut told => break (true, told),
         };
         eprintln!("the process that was to follow is gone, this one goes on: {lost}");
         front.give_way(false);
     };
-    if followed {
-        // Whoever comes is the other process's, at the same listener.
-        front.stop();
-        see_out(&front, Instant::now()).await;
-    } else {
-        stop(&front, listener).await;
+    let told = told?;
+    core.stop_by(told + grace - BEFORE.0);
+    front.stop();
+    if !followed {
+        accept_late(&front, listener, told).await;
     }
+    // Otherwise whoever comes is the other process's, at the same listener.
+    see_out(&front, told + grace - BEFORE.1).await;
     eprintln!("{} stopped", config.name);
     Ok(())
 }
 
+/// A listener for clients: that of the process which serves, with what it knows, where there is one.
+async fn begin(core: &Rc<Core>, at: SocketAddr) -> io::Result<(TcpListener, Option<UnixStream>)> {
+    let inherited = match takeover::place(at) {
+        Some(place) => takeover::inherit(&place).await,
+        None => None,
+    };
+    match inherited {
+        Some(Inheritance { listener, state, held }) => {
+            core.take_over(&state);
+            Ok((listener, Some(held)))
+        }
+        None => Ok((bound("listen", || async { listen(at) }).await?, None)),
+    }
+}
+
 /// A listener for clients. A process that is to replace this one listens beside it, at the same address.
 fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -227,29 +246,23 @@
     }
 }
 
-/// Sees clients out: those that have a connection end with their current request, those that still come are
-/// served, and nothing that was taken is left without an answer.
-async fn stop(front: &Rc<Front>, listener: TcpListener) {
-    let start = Instant::now();
-    front.stop();
+/// Takes in the clients that still come to a gateway told to stop.
+async fn accept_late(front: &Rc<Front>, listener: TcpListener, told: Instant) {
     loop {
         let quiet = front.last_accepted() + STILL_COMING.1;
-        let until = (start + STILL_COMING.0).max(quiet).min(start + LISTEN_MOST);
+        let until = (told + STILL_COMING.0).max(quiet).min(told + LISTEN_MOST);
         if timeout(until.saturating_duration_since(Instant::now()), front.accept(&listener)).await.is_err()
-            && (front.last_accepted() + STILL_COMING.1 <= Instant::now() || until >= start + LISTEN_MOST)
+            && (front.last_accepted() + STILL_COMING.1 <= Instant::now() || until >= told + LISTEN_MOST)
         {
             break;
         }
     }
     front.accept_rest(&listener).await;
-    drop(listener);
-    see_out(front, start).await;
 }
 
 /// Waits until no client is left, and closes those who have nothing open.
-async fn see_out(front: &Rc<Front>, start: Instant) {
+async fn see_out(front: &Rc<Front>, end: Instant) {
     // What came last may have its request on the way; give it a moment before idle connections close.
-    let end = start + STOP_MOST;
     let late = async {
         sleep(STILL_COMING.1).await;
         loop {
--- a/gateway/tests/loopback/lifecycle.rs
+++ b/gateway/tests/loopback/lifecycle.rs
@@ -1,9 +1,11 @@
 //! Start and stop.
 
 use crate::rig::*;
+use serde_json::json;
 use std::io::Read;
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_malformed_configuration_ends_the_program_with_one_line() {
@@ -58,6 +60,39 @@
     assert!(gateway.wait().success());
 }
 
+/// The end comes at 3.7 s at the soonest, however long the deadlines are: by then a request has its answer though
+/// its server hangs, whether it came before the signal or after.
+#[test]
+fn a_gateway_told_to_stop_answers_what_hangs_before_it_is_killed() {
+    let server = Server::start(|_| Does::Hangs);
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut long = config(&agent, &known);
+    for class in 0..3 {
+        long["settings"]["classes"][class]["deadlineUs"] = json!(20_000_000);
+        long["settings"]["classes"][class]["aimUs"] = json!(20_000_000);
+    }
+    let gateway = Gateway::start(&long);
+    let patient = |request: String| request.replace("X-Budget-Ms: 1900", "X-Budget-Ms: 20000");
+    let (mut safe, mut once, mut idle) = (gateway.client(), gateway.client(), gateway.client());
+    assert_eq!(idle.call("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+    safe.write(&patient(status()));
+    server.request();
+    once.write(&patient(payout("x")));
+    server.request();
+    let told = Instant::now();
+    gateway.terminate();
+    assert!(idle.answer().is_none(), "the signal has come");
+    let mut late = gateway.client();
+    late.write(&patient(status()));
+    server.request();
+    for (client, code) in [(&mut safe, 429), (&mut once, 502), (&mut late, 429)] {
+        assert_eq!(client.answer().expect("cut off with no answer").status(), code);
+    }
+    assert!(told.elapsed() < Duration::from_millis(3_700), "after {:?}", told.elapsed());
+    assert!(gateway.wait().success());
+}
+
 /// A new configuration moves the watch at once, with the whole list of the new agent, though the old agent
 /// holds its call and stands at the same version; one that cannot be used changes nothing.
 #[test]
--- a/src/api.rs
+++ b/src/api.rs
@@ -335,6 +335,11 @@
         /// The load report that came along.
         load: Option<Load>,
     },
+    /// The process is told to stop and will be ended: whatever is open then must have its answer by this time.
+    Stop {
+        /// The time.
+        by: Micros,
+    },
     /// The request is over: the client left.
     Gone {
         /// The request.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -137,6 +137,7 @@
     asked: BTreeMap<CounterId, (CustomerId, Micros)>,
     begun: bool,
     turn: f64,
+    ends: Micros,
 }
 
 impl Gateway {
@@ -165,6 +166,7 @@
             outbox: vec![BTreeSet::new(); n],
             calls: if n > OFTEN { CALLS_FIRST.1 } else { CALLS.2 / 2.0 },
             call_share: if n > OFTEN { CALLS_FIRST.0 } else { 1.0 },
+            ends: Micros::MAX,
             settings,
             ..Gateway::default()
         })
@@ -404,15 +406,8 @@
             self.turn = self.turn.max(x.turn);
             x.turn = self.turn + x.item_us / x.ramp(now, &self.settings.rules);
             let cut = silent.is_some();
-            r.attempts.push(Attempt {
-                server,
-                sent: now,
-                open: true,
-                may_have_run: false,
-                held,
-                cut,
-                working,
-            });
+            let sent = Attempt { server, sent: now, open: true, may_have_run: false, held, cut, working };
+            r.attempts.push(sent);
             if working {
                 x.open += 1;
                 self.out_now += 1;
@@ -426,7 +421,7 @@
     fn came(&mut self, now: Micros, id: RequestId, out: Out) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| r.coming) else { return };
         r.coming = false;
-        (r.arrived, r.deadline) = (now, now + (r.deadline - r.arrived));
+        (r.arrived, r.deadline) = (now, (now + (r.deadline - r.arrived)).min(self.ends));
         out.push(Action::Timer { at: r.deadline, timer: TimerId(id.0 << 1) });
         for a in r.attempts.iter_mut().filter(|a| a.open) {
             (a.sent, a.working) = (now, true);
@@ -809,7 +804,7 @@
                     return out.push(Action::Refuse { id, retry_after: 0 });
                 }
                 self.customer(now, customer, plan, spread, first);
-                let deadline = now.saturating_add(patience - margin);
+                let deadline = now.saturating_add(patience - margin).min(self.ends);
                 // A later try has less than the usual patience (a running quantile): the rest has gone by.
                 let (deadline_us, left) = (self.settings.classes[class].deadline, patience as f64);
                 let up = if left > self.usual[class] { USUAL.0 } else { USUAL.0 - 1.0 };
@@ -828,6 +823,7 @@
                 self.meter(now, id, used, settled);
                 self.outcome(now, id, attempt, (status, took, closed), out);
             }
+            Event::Stop { by } => self.stop(by, out),
             Event::Gone { id } => self.close(id),
             // A request's timers bear its number twice: even at its deadline, odd at the end of its hold.
             Event::Timer { timer: TURN } => self.round(now, out),
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -39,6 +39,15 @@
 }
 
 impl Gateway {
+    /// No deadline lies past the end of this process: a request still open then would never be answered.
+    pub(super) fn stop(&mut self, by: Micros, out: &mut Vec<Action>) {
+        self.ends = by;
+        for (id, r) in self.requests.iter_mut().filter(|(_, r)| r.deadline > by) {
+            r.deadline = by;
+            out.push(Action::Timer { at: by, timer: TimerId(id.0 << 1) });
+        }
+    }
+
     /// What the next process has to know. What was not counted yet is its to count; this one keeps what its
     /// open requests still settle for.
     pub fn hand_over(&mut self) -> String {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -132,3 +132,29 @@
     assert_eq!(answered.len(), 1);
     assert!((280 * MS..=300 * MS).contains(&(answered[0].0 - came)));
 }
+
+/// A process told to stop answers all it holds by the time it was told, and whoever comes later by then too.
+#[test]
+fn whatever_is_open_when_the_process_must_end_is_answered_before() {
+    let mut settings = settings();
+    settings.classes.push(class(Effect::Fragile));
+    let mut rig = Rig::new(settings, &[entry(1, 0)]);
+    let (safe, fragile) = (rig.request(0, 1, 2 * S), rig.request(1, 2, 2 * S));
+    assert!(sent(&safe.1).is_some() && sent(&fragile.1).is_some());
+    let by = rig.now + 500 * MS;
+    rig.event(Event::Stop { by });
+    rig.now += 100 * MS;
+    let late = rig.request(0, 3, 2 * S);
+    assert!(sent(&late.1).is_some());
+    assert!(rig
+        .run_to(by - 1)
+        .iter()
+        .all(|(_, a)| !matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
+    let ends: Vec<_> = rig.run_to(by).into_iter().map(|(_, action)| action).collect();
+    for id in [safe.0, late.0] {
+        assert!(ends.iter().any(|a| matches!(a, Action::Refuse { id: of, .. } if *of == id)));
+    }
+    assert!(ends.iter().any(|a| matches!(a, Action::Fail { id } if *id == fragile.0)), "it may have run");
+    rig.now += MS;
+    assert!(refused(&rig.request(0, 4, 2 * S).1), "there is no time left for another");
+}
