End an agent's calls within 0.9 s, and open a silent or broken watch anew at once

At fault in discovery.rs: WAIT + SILENT of 5 s, then `Pauses::draw`, 2 to 4 s at the first failure of 300 gateways. A call made while discovery was down also held for 5 s past its return, what the agent then has being told at once. Now an agent's watch ends after 0.6 + 0.3 s, 0.1 + 0.3 s while calls fail, and the next goes out at once after silence, else after 0.1 s. The service that all share keeps its waits, and its pauses but after silence; 503 still draws them. The three new tests fail without the mend (5 s and more in a fleet of 2).

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::config::Names;
 use crate::core::Core;
 use bytes::Bytes;
-use frostgauge::{Entry, ListKind, ServerId, State};
+use frostgauge::{Entry, ListKind, ServerId, Settings, State};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -11,26 +11,49 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait: short, since what a silent agent holds back counts as told 2 s after the wait.
-const WAIT: Duration = Duration::from_millis(4_000);
-/// A watch without an answer so long after its wait has failed.
-const SILENT: Duration = Duration::from_millis(1_000);
-/// A call for the whole list may stand in line behind every other gateway's; one given up is worked on all the
-/// same, so giving up early wins nothing.
-const QUEUED: Duration = Duration::from_millis(4_000);
-/// The pause after a failed call: first, and at most, for each gateway of the fleet. All of them share one
-/// service, so the more there are, the more seldom each may ask again.
+/// Where a list is pushed, an agent on the gateway's own machine answers at once and at no cost. What it gets when
+/// discovery is back counts as told at once, though it may never answer a call that was opened before: one call
+/// after the other has to end within the second that the rule on drains gives.
+const AGENT: Limits = Limits {
+    wait: Duration::from_millis(600),
+    silent: Duration::from_millis(300),
+    whole: Duration::from_millis(500),
+};
+/// Where it is asked for, all gateways share one service. A watch may wait only so long, since what a silent one
+/// misses counts as told 6 s after it fell silent. A call for the whole list may stand in line behind every other
+/// gateway's; one given up is worked on all the same, so giving up early wins nothing.
+const SERVICE: Limits = Limits {
+    wait: Duration::from_millis(4_000),
+    silent: Duration::from_millis(1_000),
+    whole: Duration::from_millis(4_000),
+};
+/// The pause after a failed call of an agent, and after one that told nothing new at once: a watch goes on, and
+/// what changes meanwhile counts as told, if the next call comes within 200 ms.
+const AGAIN: Duration = Duration::from_millis(100);
+/// The pause after a failed call of a shared service: first, and at most, for each gateway of the fleet. The more
+/// there are, the more seldom each may ask again.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(60));
 /// The longest pause of a small fleet, and of any: what discovery tells must not be learnt much later.
 const BACKOFF_MOST: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(4_000));
 /// Largest list taken in.
 const LIST_MOST: usize = 4 << 20;
 
+/// How long calls may take.
+#[derive(Clone, Copy)]
+struct Limits {
+    /// How long a watch may wait for news.
+    wait: Duration,
+    /// One without an answer so long after its wait has failed.
+    silent: Duration,
+    /// So has a call for the whole list by then.
+    whole: Duration,
+}
+
 /// One server as discovery names it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -64,6 +87,8 @@
     Status(u16),
     /// No answer in time.
     Silent,
+    /// A version older than the one that was asked about.
+    Stale,
 }
 
 impl fmt::Display for WatchError {
@@ -74,6 +99,7 @@
             WatchError::Http(e) => write!(f, "{e}"),
             WatchError::Status(code) => write!(f, "answered {code}"),
             WatchError::Silent => write!(f, "no answer in time"),
+            WatchError::Stale => write!(f, "an older version than the one held"),
         }
     }
 }
@@ -131,8 +157,8 @@
 
 type Sender = http1::SendRequest<Empty<Bytes>>;
 
-/// The pauses between failed calls: they double, and are drawn anew each time, since gateways that failed
-/// together would else come again together.
+/// The pauses between failed calls of a shared service: they double, and are drawn anew each time, since
+/// gateways that failed together would else come again together.
 struct Pauses {
     rng: fastrand::Rng,
     first: Duration,
@@ -159,6 +185,17 @@
         self.next = (due * 2).min(self.most);
         due.mul_f64(0.5 + 0.5 * self.rng.f64())
     }
+
+    /// The pause after a call failed so. A silent one was waited for long enough, while the clock of what it
+    /// misses runs. Who turns calls away is busy, and a service of many, whatever the settings say.
+    fn after(&mut self, e: &WatchError, asked: bool) -> Duration {
+        match e {
+            WatchError::Silent => Duration::ZERO,
+            WatchError::Status(500..) => self.draw(),
+            _ if asked => self.draw(),
+            _ => AGAIN,
+        }
+    }
 }
 
 /// A watch on the list of servers.
@@ -168,22 +205,24 @@
     names: Names,
     sender: Option<Sender>,
     index: Option<u64>,
+    /// The list is asked for, not pushed.
+    asked: bool,
     pauses: Pauses,
     failing: bool,
 }
 
 impl Watch {
-    /// A watch that goes on from the list known at the start, at the agent named last, in a fleet of so many.
+    /// A watch that goes on from the list known at the start, at the agent named last.
     pub fn new(
         mut agents: watch::Receiver<SocketAddr>,
         names: Names,
         index: u64,
-        gateways: usize,
+        settings: &Settings,
         seed: u64,
     ) -> Watch {
         let agent = *agents.borrow_and_update();
-        let pauses = Pauses::new(gateways, seed);
-        Watch { agents, agent, names, sender: None, index: Some(index), pauses, failing: false }
+        let (pauses, asked) = (Pauses::new(settings.gateways, seed), settings.allow.must_ask);
+        Watch { agents, agent, names, sender: None, index: Some(index), asked, pauses, failing: false }
     }
 
     /// Watches for ever, at once at another agent when one is named. A failed call leaves the list as it is, and
@@ -192,12 +231,12 @@
     pub async fn run(mut self, core: Rc<Core>) {
         let mut agents = self.agents.clone();
         loop {
+            let begun = Instant::now();
             let called = tokio::select! {
                 called = self.call() => called,
                 agent = next(&mut agents) => {
-                    // The call in progress ended with its future; another agent counts versions of its own.
-                    (self.agent, self.sender, self.index) = (agent, None, None);
-                    self.pauses.reset();
+                    // The call in progress ended with its future.
+                    self.turn_to(agent);
                     continue;
                 }
             };
@@ -205,9 +244,13 @@
                 Ok(listing) => {
                     self.pauses.reset();
                     self.failing = false;
+                    let idle = self.index == Some(listing.index) && listing.members.is_empty();
                     self.index = Some(listing.index);
                     let kind = if listing.whole { ListKind::Full } else { ListKind::Delta };
                     core.servers(kind, listing.members);
+                    if idle && begun.elapsed() < AGAIN {
+                        self.pause(AGAIN, &mut agents).await;
+                    }
                 }
                 Err(e) => {
                     if !std::mem::replace(&mut self.failing, true) {
@@ -215,33 +258,54 @@
                     }
                     self.sender = None;
                     // What cannot be read, or is refused for good, may be so because of the version.
-                    if matches!(e, WatchError::Malformed(_) | WatchError::Status(400..=499)) {
+                    if matches!(
+                        e,
+                        WatchError::Malformed(_) | WatchError::Stale | WatchError::Status(400..=499)
+                    ) {
                         self.index = None;
                     }
                     core.servers(ListKind::Failed, Vec::new());
-                    let pause = self.pauses.draw();
-                    tokio::select! {
-                        () = sleep(pause) => {}
-                        agent = next(&mut agents) => {
-                            (self.agent, self.index) = (agent, None);
-                            self.pauses.reset();
-                        }
-                    }
+                    let pause = self.pauses.after(&e, self.asked);
+                    self.pause(pause, &mut agents).await;
                 }
             }
         }
     }
 
+    /// Lets some time pass, unless another agent is named.
+    async fn pause(&mut self, pause: Duration, agents: &mut watch::Receiver<SocketAddr>) {
+        tokio::select! {
+            () = sleep(pause) => {}
+            agent = next(agents) => self.turn_to(agent),
+        }
+    }
+
+    /// Another agent counts versions of its own.
+    fn turn_to(&mut self, agent: SocketAddr) {
+        (self.agent, self.sender, self.index) = (agent, None, None);
+        self.pauses.reset();
+    }
+
     async fn call(&mut self) -> Result<Listing, WatchError> {
+        let Limits { mut wait, silent, whole } = if self.asked { SERVICE } else { AGENT };
+        if self.failing && !self.asked {
+            // Discovery may be down, and back at any time.
+            wait = AGAIN;
+        }
         let (path, limit) = match self.index {
             Some(index) => {
-                (format!("/catalog/members?index={index}&wait={}", WAIT.as_millis()), WAIT + SILENT)
+                (format!("/catalog/members?index={index}&wait={}", wait.as_millis()), wait + silent)
             }
-            None => ("/catalog/members".to_owned(), QUEUED),
+            None => ("/catalog/members".to_owned(), whole),
         };
         let body = timeout(limit, self.get(&path)).await.map_err(|_| WatchError::Silent)??;
         let list = serde_json::from_slice(&body).map_err(|_| WatchError::Malformed("the answer"))?;
-        read(&list, &self.names)
+        let listing = read(&list, &self.names)?;
+        // Servers that it still names may be gone by the version held.
+        if self.index.is_some_and(|held| listing.index < held) {
+            return Err(WatchError::Stale);
+        }
+        Ok(listing)
     }
 
     async fn get(&mut self, path: &str) -> Result<Bytes, WatchError> {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -147,8 +147,7 @@
         tokio::task::spawn_local(peers.run(core.clone()));
     }
     let (agent, agents) = watch::channel(config.discovery);
-    let watch =
-        Watch::new(agents, config.names.clone(), config.known.index, config.settings.gateways, config.seed);
+    let watch = Watch::new(agents, config.names.clone(), config.known.index, &config.settings, config.seed);
     tokio::task::spawn_local(watch.run(core.clone()));
 
     // Held for as long as this process lives.
--- a/gateway/tests/loopback/discovery.rs
+++ b/gateway/tests/loopback/discovery.rs
@@ -3,7 +3,7 @@
 use crate::rig::*;
 use serde_json::json;
 use std::net::UdpSocket;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn named(name: &'static str) -> Server {
     Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()))
@@ -49,6 +49,90 @@
     assert!(!agent.gave_all(), "the whole list was asked for");
 }
 
+/// A gateway of a fleet of so many, before one server, and its agent.
+fn among(gateways: usize, server: &Server) -> (Gateway, Agent) {
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut config = config(&agent, &known);
+    config["settings"]["siblings"] = json!(gateways);
+    (Gateway::start(&config), agent)
+}
+
+/// What a silent watch misses counts as told 6 s after it fell silent; with the second that drains have, it must be
+/// known by then in a fleet of any size. The agent answers at once, so the news comes with the next call.
+#[test]
+fn a_watch_that_fell_silent_or_broke_is_opened_anew_in_time_in_any_fleet() {
+    for gateways in [2, 300] {
+        for odd in [Odd::Silence, Odd::Close] {
+            let (first, second) = (named("first"), named("second"));
+            let (gateway, agent) = among(gateways, &first);
+            let mut client = gateway.client();
+            assert_eq!(client.call(&status()).body, b"first");
+            agent.called(1);
+            let most = Duration::from_millis(if odd == Odd::Close { 1_000 } else { 4_000 });
+            let from = Instant::now();
+            agent.treat(odd);
+            agent.change(vec![
+                entry("s-1", first.address, "room-a", "draining"),
+                entry("s-2", second.address, "room-a", "ready"),
+            ]);
+            assert!(from.elapsed() < most, "{gateways} gateways: after {:?}", from.elapsed());
+            assert_eq!(client.call(&status()).body, b"second");
+        }
+    }
+}
+
+/// What the agent gets when discovery is back counts as told at once, though the calls made before stay unanswered.
+#[test]
+fn what_changed_while_discovery_was_down_is_known_soon_after_its_return() {
+    for gateways in [2, 300] {
+        let (first, second) = (named("first"), named("second"));
+        let (gateway, agent) = among(gateways, &first);
+        let mut client = gateway.client();
+        agent.treat(Odd::Down);
+        agent.called(2);
+        assert_eq!(client.call(&status()).body, b"first");
+        let from = Instant::now();
+        agent.back();
+        agent.change(vec![
+            entry("s-1", first.address, "room-a", "draining"),
+            entry("s-2", second.address, "room-a", "ready"),
+        ]);
+        assert!(from.elapsed() < Duration::from_millis(2_000), "{gateways} gateways: {:?}", from.elapsed());
+        assert_eq!(client.call(&status()).body, b"second");
+    }
+}
+
+/// An answer that is empty, cut short, no list or of an older version than the one held changes nothing and is
+/// followed by another call. What is indented is a list like any other.
+#[test]
+fn an_answer_of_discovery_that_is_no_news_changes_nothing() {
+    let (first, second) = (named("first"), named("second"));
+    let (gateway, agent) = among(300, &first);
+    let mut client = gateway.client();
+    agent.change(vec![
+        entry("s-1", first.address, "room-a", "draining"),
+        entry("s-2", second.address, "room-a", "ready"),
+    ]);
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let list = |index: u64, name: &str, server: &Server| {
+        let members = [entry(name, server.address, "room-a", "ready")];
+        json!({"index": index, "snapshot": true, "endpoints": members})
+    };
+    let stale = answer(&list(1, "s-1", &first).to_string());
+    let long = stale.replace("Content-Length: ", "Content-Length: 1");
+    for odd in [answer(""), answer("[]"), answer("{\"index\":"), stale, long] {
+        agent.treat(Odd::Says(odd));
+        agent.called(1);
+        assert_eq!(client.call(&status()).body, b"second");
+    }
+    let third = named("third");
+    let indented = serde_json::to_string_pretty(&list(900, "s-3", &third)).unwrap();
+    agent.treat(Odd::Says(answer(&indented)));
+    agent.called(1);
+    assert_eq!(client.call(&status()).body, b"third");
+}
+
 /// A message is told by its sender's address; strangers and long datagrams change nothing.
 #[test]
 fn peers_hear_each_other_in_small_messages() {
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -173,9 +173,23 @@
     members: Vec<Value>,
     changed: Vec<Value>,
     failing: bool,
+    odd: Option<Odd>,
     calls: Vec<String>,
 }
 
+/// What an agent does with calls instead of answering them.
+#[derive(Clone, PartialEq)]
+pub enum Odd {
+    /// Leaves the one that is open unanswered for ever.
+    Silence,
+    /// Leaves all unanswered, until told otherwise.
+    Down,
+    /// Closes the connection of the one that is open.
+    Close,
+    /// Answers the one that is open with this and no more.
+    Says(String),
+}
+
 /// A scripted discovery agent.
 #[derive(Clone)]
 pub struct Agent {
@@ -209,9 +223,25 @@
             let index = path.split_once("index=").and_then(|(_, q)| q.split('&').next()?.parse::<u64>().ok());
             list.calls.push(path);
             news.notify_all();
-            while !list.failing && index == Some(list.index) {
+            while !list.failing && list.odd.is_none() && index.is_some_and(|held| held >= list.index) {
                 list = news.wait(list).unwrap();
             }
+            let once = |odd: &mut Odd| *odd != Odd::Down;
+            let odd = list.odd.take_if(once).or_else(|| list.odd.clone());
+            news.notify_all();
+            match odd {
+                None => {}
+                Some(Odd::Close) => return,
+                Some(Odd::Silence | Odd::Down) => {
+                    drop(list);
+                    return drop(reader.read_to_end(&mut Vec::new()));
+                }
+                Some(Odd::Says(text)) => {
+                    drop(list);
+                    let _ = writer.write_all(text.as_bytes());
+                    continue;
+                }
+            }
             let (status, body) = match index {
                 _ if list.failing => ("500 Failing", json!({})),
                 Some(index) if index + 1 == list.index => {
@@ -256,6 +286,23 @@
         self.until("for what follows a change", |l| l.calls.iter().any(|c| c.contains(&told)));
     }
 
+    /// Treats the call that is open, or the next, in this way.
+    pub fn treat(&self, odd: Odd) {
+        self.set(|list| list.odd = Some(odd));
+        self.until("anything", |l| l.odd.is_none() || l.odd == Some(Odd::Down));
+    }
+
+    /// Waits for so many calls from now on.
+    pub fn called(&self, times: usize) {
+        let before = self.list.0.lock().unwrap().calls.len();
+        self.until("again", |l| l.calls.len() >= before + times);
+    }
+
+    /// Answers again.
+    pub fn back(&self) {
+        self.set(|list| list.odd = None);
+    }
+
     /// Answers with errors until told otherwise; waits until the gateway has asked again.
     pub fn fail(&self) {
         let mut asked = 0;
