Spare a request that crosses the close of its connection, at SIGTERM and when connections are shed

Checked with forced crossings: half of a request is read on a used connection as SIGTERM comes, or a new connection has brought nothing yet: both were closed at once with no answer. Half of it had been read, so it was not "unread" any more. Ruled out: requests in work (hyper ends them with their answer), connections that stand idle. At fault: front.rs `serve` called hyper's graceful_shutdown, which closes what is between requests, with half a head in its buffer or not, and a connection that has seen nothing; `shed` closed by what held when it was decided, a poll before. `accept_rest` asked the runtime for connections that wait, which knows of them only after its next look at its events. Now a connection that asks, or has just come, drains with its first answer (it carries Connection: close), a close that was decided is decided again as it is carried out, and the listener is read out by the system's word before it closes.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -17,6 +17,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -144,6 +145,8 @@
     since: Cell<Instant>,
     /// Was told to go.
     leaving: Cell<bool>,
+    /// Part of a request had come by then, and it goes all the same.
+    broken_off: Cell<bool>,
     /// What it sends is not worth reading, but it should see its answer.
     faulty: Cell<bool>,
     /// End with the current request, at once if there is none.
@@ -181,8 +184,25 @@
 
     fn shed(&self) {
         self.leaving.set(true);
+        self.broken_off.set(self.wire.began().is_some());
         self.shed.notify_one();
     }
+
+    /// Whether a request is on its way: some of it was read, or lies there to be read.
+    fn asks(&self) -> bool {
+        self.wire.began().is_some() || self.wire.unread()
+    }
+
+    /// Whether to go now. A request that came since this was decided is not cut off.
+    fn goes(&self) -> bool {
+        self.stalled() || self.idle() && (self.broken_off.get() || !self.asks())
+    }
+
+    /// Whether to end with the current request, at once if there is none. One that asks ends with that answer, and
+    /// one that has brought nothing yet is about to.
+    fn drains(&self) -> bool {
+        !self.idle() || self.asked.get() && !self.asks()
+    }
 }
 
 /// All connections of clients.
@@ -257,10 +277,20 @@
         }
     }
 
-    /// Takes in what the machine has already accepted for us: a request on it may count as taken.
-    pub async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.take(stream);
+    /// Takes in what the machine has already accepted for us, and closes the listener: a request on it may count
+    /// as taken. The system is asked, since what the runtime knows is as old as its last look at its events.
+    pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    stream.into_iter().for_each(|stream| self.take(stream));
+                }
+                // Its client was quicker.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(_) => return,
+            }
         }
     }
 
@@ -340,6 +370,7 @@
             asked: Cell::new(false),
             since: Cell::new(Instant::now()),
             leaving: Cell::new(false),
+            broken_off: Cell::new(false),
             faulty: Cell::new(false),
             drain: Notify::new(),
             shed: Notify::new(),
@@ -369,9 +400,11 @@
             tokio::select! {
                 // A connection that broke concerns its client alone. hyper answers what it cannot read.
                 ended = connection.as_mut() => break ended.is_err() || client.faulty.get(),
-                () = client.drain.notified() => connection.as_mut().graceful_shutdown(),
+                () = client.drain.notified() => if client.drains() {
+                    connection.as_mut().graceful_shutdown();
+                },
                 () = client.shed.notified() => {
-                    if client.idle() || client.stalled() {
+                    if client.goes() {
                         return;
                     }
                     client.leaving.set(false);
@@ -609,3 +642,39 @@
     response.body_mut().taken = Some(taken);
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{Cell, Client, Instant, Notify, TcpListener, TcpStream, Wire};
+    use std::io::Write;
+
+    /// A request that comes between the decision to close its connection and the close is not cut off; one that was
+    /// given up half read is.
+    #[test]
+    fn a_request_that_crosses_the_close_of_its_connection_spares_it() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut far = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            let near: TcpStream = listener.accept().await.unwrap().0;
+            let client = Client {
+                wire: Wire::new(near),
+                busy: Cell::new(false),
+                passing: Cell::new(false),
+                asked: Cell::new(true),
+                since: Cell::new(Instant::now()),
+                leaving: Cell::new(false),
+                broken_off: Cell::new(false),
+                faulty: Cell::new(false),
+                drain: Notify::new(),
+                shed: Notify::new(),
+            };
+            client.shed();
+            assert!(client.goes() && client.drains());
+            far.write_all(b"GET").unwrap();
+            assert!(!client.goes() && !client.drains());
+            client.broken_off.set(true);
+            assert!(client.goes());
+        });
+    }
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -256,7 +256,7 @@
             break;
         }
     }
-    front.accept_rest(&listener).await;
+    front.accept_rest(listener);
 }
 
 /// Waits until no client is left, and closes those who have nothing open.
--- a/gateway/tests/loopback/lifecycle.rs
+++ b/gateway/tests/loopback/lifecycle.rs
@@ -60,6 +60,29 @@
     assert!(gateway.wait().success());
 }
 
+/// A request of which some has come as the signal does is taken, and so is the first of a new connection.
+#[test]
+fn a_request_on_its_way_as_the_signal_comes_is_answered() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let (gateway, _agent) = Gateway::before(&[("s-1", &server, "room-a")]);
+    let (mut idle, mut halfway, mut fresh) = (gateway.client(), gateway.client(), gateway.client());
+    assert_eq!(halfway.call(&status()).status(), 200);
+    let request = status();
+    let (before, behind) = request.split_at(40);
+    halfway.write(before);
+    // Whoever connected or wrote before this call was seen before it.
+    assert_eq!(idle.call(&status()).status(), 200);
+    gateway.terminate();
+    assert!(idle.answer().is_none(), "the signal has come");
+    halfway.write(behind);
+    fresh.write(&status());
+    for client in [&mut halfway, &mut fresh] {
+        let answer = client.answer().expect("cut off with no answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    }
+    assert!(gateway.wait().success());
+}
+
 /// The end comes at 3.7 s at the soonest, however long the deadlines are: by then a request has its answer though
 /// its server hangs, whether it came before the signal or after.
 #[test]
