Let a connection to a server rest 20 ms after an answer: a second one may come late

Checked: a server that answers each second request again 5 ms later; the request that follows within that time was given the answer of the one before, which is an answer that no server made for it. Ruled out: what lies there by the write (`Link::quiet` sees it), what comes before the request is whole (`early`). At fault: upstream.rs REST, 2 ms. The new test fails with 2 ms.

--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -28,8 +28,9 @@
 /// Part of the servers' idle limit after which a connection is retired: one that a server closes just as a
 /// request is written to it would end that request as a reset.
 const IDLE_PART: f64 = 0.5;
-/// How long a connection rests after an answer, so that what comes behind that is seen before the next request.
-const REST: Duration = Duration::from_millis(2);
+/// How long a connection rests after an answer, so that what comes behind that is seen before the next request. A
+/// second answer may come some milliseconds late, and could not be told from the next request's.
+const REST: Duration = Duration::from_millis(20);
 /// What the system holds of an answer that has not been passed on.
 const RECEIVE_BUFFER: u32 = 128 << 10;
 /// hyper's read buffer for one connection, at most.
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What should come comes well within this; only a failing test waits so long.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -63,6 +63,8 @@
     Answers(&'static str, Vec<u8>),
     /// Writes this and goes on.
     Writes(String),
+    /// Writes this, and so much later once more, but not later than twice that, should the machine be busy.
+    WritesTwice(String, Duration),
     /// Writes this and closes.
     Breaks(&'static str),
     /// Answers, then closes the connection without having said so.
@@ -145,6 +147,14 @@
             Does::Writes(text) => {
                 let _ = writer.write_all(text.as_bytes());
             }
+            Does::WritesTwice(text, pause) => {
+                let _ = writer.write_all(text.as_bytes());
+                let first = Instant::now();
+                thread::sleep(pause);
+                if first.elapsed() < pause * 2 {
+                    let _ = writer.write_all(text.as_bytes());
+                }
+            }
             Does::Breaks(text) => {
                 let _ = writer.write_all(text.as_bytes());
                 return;
--- a/gateway/tests/loopback/servers.rs
+++ b/gateway/tests/loopback/servers.rs
@@ -4,6 +4,7 @@
 use serde_json::json;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 fn ok() -> Does {
     Does::Answers("200 OK", b"done".to_vec())
@@ -102,7 +103,7 @@
 fn unreachable() -> (TcpListener, Vec<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let limit = std::time::Duration::from_millis(200);
+    let limit = Duration::from_millis(200);
     let filling = std::iter::from_fn(|| TcpStream::connect_timeout(&address, limit).ok()).collect();
     (listener, filling)
 }
@@ -256,6 +257,24 @@
     }
 }
 
+/// A second answer that comes some milliseconds late is none to the request that follows.
+#[test]
+fn a_late_second_answer_never_answers_the_next_request() {
+    let server = Server::start(|n| {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nn{n:03}");
+        if n % 2 == 0 {
+            Does::WritesTwice(answer, Duration::from_millis(5))
+        } else {
+            Does::Writes(answer)
+        }
+    });
+    let (gateway, _agent) = Gateway::before(&[("s-1", &server, "room-a")]);
+    let mut client = gateway.client();
+    for n in 0..20 {
+        assert_eq!(client.call(&status()).body, format!("n{n:03}").into_bytes());
+    }
+}
+
 /// An answer that cannot be relied on is a failed attempt: a safe request goes elsewhere.
 #[test]
 fn a_spoilt_answer_is_none() {
