Leave the counter's calls to requests that ask; use told after the fact goes along

At fault in choice.rs: `round` spent a saved call on what was told after the fact as soon as there was one, so that the next request found none, and went unasked; `meter` made each difference of true units such a call. Now, in sets past OFTEN gateways, a difference goes along with the next call, and use is told by itself only while over half of CALLS are saved. Both new tests fail without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,7 @@
 const COUNT_FELL: f64 = 0.5; // part of the total; one that fell by more has started anew
 const CALLS: (f64, f64, f64) = (0.05, 1.5, 10.0); // least, to see a counter return; most; saved
 const CALLS_FIRST: (f64, f64) = (0.3, 2.0); // calls a request, and saved, where many may start at once
+const CALLS_SPARED: f64 = CALLS.2 / 2.0; // of these, what use told after the fact leaves to requests that ask
 const CALLS_SPEED: (f64, f64) = (1.1, 0.7); // a quick reply raises the calls, a slow one lowers them
 const QUICK: (Micros, Micros) = (2, 4); // a reply within this part of a call's time limit is quick; of many
                                         // gateways', since all of them are late to see a line grow
@@ -559,7 +560,8 @@
         let plan = &c.terms;
         if let Some(units) = settled.filter(|u| u.is_finite() && r.inside && !r.done) {
             c.level = (c.level - (units - r.units)).min(plan.burst);
-            c.uncounted += units - r.units;
+            let due = if c.few() { &mut c.uncounted } else { &mut c.owed };
+            *due += units - r.units;
         }
         let Some(used) = used.filter(|u| u.is_finite() && *u >= 0.0 && plan.rate > 0.0) else { return };
         self.metered = now;
@@ -678,7 +680,7 @@
         self.calls -= 1.0;
         c.calling = true;
         // What is reserved counts as used until the request goes; a refused one gives it back.
-        c.adding = c.uncounted + reserve;
+        c.adding = c.uncounted + std::mem::take(&mut c.owed) + reserve;
         c.uncounted = -reserve;
         let start = c.window(now);
         let counter = CounterId(id.0 ^ (start / 1_000) << NAME_BITS);
@@ -746,11 +748,12 @@
         for id in std::mem::take(&mut self.changed) {
             let Some(c) = self.customers.get(&id) else { continue };
             let due = c.uncounted != 0.0 && !self.paid(c.plan);
+            let spare = c.few() || c.uncounted < 0.0 || self.calls >= CALLS_SPARED;
             let (due, repeats) = (self.settings.allow.counter && due, c.sent > 1.0);
             if self.near && repeats {
                 self.publish(id);
             }
-            if due && (!self.call(now, id, 0.0, out) || self.calls < 1.0) {
+            if due && (!spare || !self.call(now, id, 0.0, out) || self.calls < 1.0) {
                 self.changed.insert(id);
             }
         }
--- a/src/customers.rs
+++ b/src/customers.rs
@@ -41,6 +41,7 @@
     pub heard: BTreeMap<usize, (u32, u32)>,
     pub uncounted: f64,
     pub adding: f64,
+    pub owed: f64,
     pub calling: bool,
     pub calm: bool,
     pub counted: Micros,
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -62,7 +62,7 @@
         for (id, c) in &mut self.customers {
             // A call that is out may have been added by the time of the next one.
             let unsure = c.unsure + c.adding;
-            let counted = std::mem::take(&mut c.uncounted);
+            let counted = std::mem::take(&mut c.uncounted) + std::mem::take(&mut c.owed);
             let total = c.total.map_or("-".to_owned(), |t| t.to_string());
             let _ = write!(text, "customer {} {} {} {} ", id.0, c.plan, c.spread, c.first);
             let _ = write!(text, "{} {} {} {} {} ", c.level, c.credit, c.filled, c.mine.value, c.mine.at);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -340,3 +340,88 @@
     assert_eq!(calls(3), 10, "a small fleet asks for each new customer");
     assert!((2..=5).contains(&calls(100)), "{} calls for ten new customers", calls(100));
 }
+
+/// The counter serves about one call for each request of a large fleet. Use that is told after the fact leaves the
+/// calls to requests that ask, and goes along with the next of them; with many saved it is told by itself. What was
+/// reserved for one that did not go is given back at once: others are refused for it.
+#[test]
+fn use_told_after_the_fact_leaves_the_calls_to_those_who_ask() {
+    let mut s = settings();
+    (s.allow.counter, s.allow.settles, s.allow.count_limit) = (true, true, 80 * MS);
+    let mut g = gateway(s, 0, 160, 3);
+    let mut does = |now: Micros, event| {
+        let mut out = Vec::new();
+        g.handle(now, event, &mut out);
+        out
+    };
+    let counts = |out: &[Action]| -> Vec<(CounterId, f64)> {
+        let count = |a: &Action| match a {
+            Action::Count { counter, amount, .. } => Some((*counter, *amount)),
+            _ => None,
+        };
+        out.iter().filter_map(count).collect()
+    };
+    let told = |counter, total| Event::Counted { counter, total, unsure: false, took: 5 * MS };
+    let round = || Event::Timer { timer: TimerId(u64::MAX) };
+    let now = 2 * S;
+    // One that asked turns out to have taken three units, not one.
+    let asked = counts(&does(now, request(1, 5, 160)));
+    assert_eq!(asked[0].1, 1.0);
+    let server = sent(&does(now, told(asked[0].0, Some(1.0)))).expect("room at first");
+    let (id, status, settled) = (RequestId(1), Status::Ok, Some(3.0));
+    let end = Event::Outcome {
+        id,
+        attempt: 0,
+        server,
+        status,
+        took: 50 * MS,
+        closed: true,
+        used: None,
+        settled,
+        load: None,
+    };
+    does(now, end);
+    for k in 1..5 {
+        assert!(counts(&does(now + k * 100 * MS, round())).is_empty(), "a call that nobody waits for");
+    }
+    let now = now + S;
+    let asked = counts(&does(now, request(2, 5, 160)));
+    assert_eq!(asked[0].1, 3.0, "the difference goes along");
+    // Its client leaves: the two units stay told, the one that was reserved goes back.
+    does(now, Event::Gone { id: RequestId(2) });
+    does(now, told(asked[0].0, Some(3.0)));
+    (10..40).for_each(|k| drop(does(now, request(k, 8, 160))));
+    assert_eq!(counts(&does(now, round())), [(asked[0].0, -1.0)]);
+}
+
+/// A request that went though the counter turned its call away is told later: not while few calls are saved.
+#[test]
+fn use_that_nobody_asked_for_is_told_once_calls_are_saved() {
+    let mut s = settings();
+    (s.allow.counter, s.allow.count_limit) = (true, 80 * MS);
+    let mut g = gateway(s, 0, 160, 3);
+    let mut does = |now: Micros, event| {
+        let mut out = Vec::new();
+        g.handle(now, event, &mut out);
+        out
+    };
+    let amounts = |out: &[Action]| -> Vec<f64> {
+        let amount = |a: &Action| match a {
+            Action::Count { amount, .. } => Some(*amount),
+            _ => None,
+        };
+        out.iter().filter_map(amount).collect()
+    };
+    let (now, round) = (2 * S, || Event::Timer { timer: TimerId(u64::MAX) });
+    // Those behind the first wait for its call, and save some.
+    (10..18).for_each(|k| drop(does(now, request(k, 8, 160))));
+    let asks = does(now, request(1, 6, 160));
+    let Some(Action::Count { counter, .. }) = asks.iter().find(|a| matches!(a, Action::Count { .. })) else {
+        panic!("it does not ask")
+    };
+    let refused = Event::Counted { counter: *counter, total: None, unsure: false, took: 5 * MS };
+    assert!(sent(&does(now, refused)).is_some(), "room at first");
+    assert!(amounts(&does(now + 100 * MS, round())).is_empty(), "a call that nobody waits for");
+    (20..50).for_each(|k| drop(does(now + 100 * MS, request(k, 8, 160))));
+    assert_eq!(amounts(&does(now + 200 * MS, round())), [1.0]);
+}
