--- a/gateway/tests/loopback/discovery.rs
+++ b/gateway/tests/loopback/discovery.rs
@@ -82,6 +82,26 @@
     }
 }
 
+/// The same where the list is asked for: a service that all share is waited for longer, but not paused for after that.
+#[test]
+fn a_silent_watch_of_a_shared_service_is_opened_anew_in_time() {
+    let (first, second) = (named("first"), named("second"));
+    let known = [entry("s-1", first.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut config = config(&agent, &known);
+    config["settings"]["siblings"] = json!(300);
+    config["settings"]["discovery"] = json!("ask");
+    let gateway = Gateway::start(&config);
+    let from = Instant::now();
+    agent.treat(Odd::Silence);
+    agent.change(vec![
+        entry("s-1", first.address, "room-a", "draining"),
+        entry("s-2", second.address, "room-a", "ready"),
+    ]);
+    assert!(from.elapsed() < Duration::from_millis(6_500), "after {:?}", from.elapsed());
+    assert_eq!(gateway.client().call(&status()).body, b"second");
+}
+
 /// What the agent gets when discovery is back counts as told at once, though the calls made before stay unanswered.
 #[test]
 fn what_changed_while_discovery_was_down_is_known_soon_after_its_return() {
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -383,6 +383,11 @@
     launch_within(text, 1_024)
 }
 
+/// The same with a folder for what it takes over.
+pub fn launch_in(text: &str, folder: &Path) -> Child {
+    launch_from(&file(text), 1_024, Some(folder))
+}
+
 /// The same with at most so many descriptors, whatever the configuration says.
 fn launch_within(text: &str, descriptors: u32) -> Child {
     let path = file(text);
--- a/gateway/tests/loopback/takeover.rs
+++ b/gateway/tests/loopback/takeover.rs
@@ -2,6 +2,8 @@
 
 use crate::rig::*;
 use serde_json::{json, Value};
+use std::io::Read;
+use std::os::unix::net::UnixListener;
 use std::path::Path;
 
 /// A gateway before one server, and the configuration of the process that follows it at the same address.
@@ -81,3 +83,22 @@
     let new = Gateway::start_in(&config, &folder);
     assert_eq!(new.client().call(&status()).status(), 429, "the store is full again");
 }
+
+/// A signal to stop that comes while the old process is asked for its place ends the start: nobody is taken in by a
+/// process whose time is running.
+#[test]
+fn a_process_told_to_stop_while_it_takes_over_never_listens() {
+    let agent = Agent::start(Vec::new());
+    let folder = folder();
+    let old = UnixListener::bind(folder.join("takeover-127.0.0.1:0")).unwrap();
+    let mut child = launch_in(&config(&agent, &[]).to_string(), &folder);
+    // Asked, and silent from then on.
+    let (_asked, _) = old.accept().unwrap();
+    let id = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let mut log = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    assert!(child.wait().unwrap().success());
+    assert!(!log.contains("listens on"), "{log}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
