--- a/tests/many.rs
+++ b/tests/many.rs
@@ -425,3 +425,21 @@
     (20..50).for_each(|k| drop(does(now + 100 * MS, request(k, 8, 160))));
     assert_eq!(amounts(&does(now + 200 * MS, round())), [1.0]);
 }
+
+/// A plan without a rate has no quota: nobody is held, refused or asked about, in a fleet of any size.
+#[test]
+fn a_plan_without_a_rate_is_never_refused() {
+    let mut s = metered();
+    (s.plans[0].rate, s.plans[0].burst) = (0.0, 0.0);
+    (s.allow.counter, s.allow.count_limit) = (true, 80 * MS);
+    for n in [2, 160] {
+        let mut g = gateway(s.clone(), 0, n, 3);
+        for k in 0..20 {
+            let (now, mut out) = (2 * S + k * 100 * MS, Vec::new());
+            g.handle(now, request(k, 5, n), &mut out);
+            let server = sent(&out).expect("it goes at once");
+            assert!(!out.iter().any(|a| matches!(a, Action::Count { .. })), "nobody need be asked");
+            served(&mut g, now + 50 * MS, k, server, 0.0);
+        }
+    }
+}
