Keep one store on the counter for a customer of many gateways, and let it run over

One customer, rate 7.4 and burst 30, quiet for 4 s, then a spike:

5.559 n55 asked, total=59, spilt=38.66 -> lv=11.7, true 0.6: goes, beyond 8.449 n71 total=0 (next name): lv=30 at every gateway new to it, true 6.0

Causes, in customers.rs `window` and choice.rs `counted`: a total of a window cannot tell use while the store was full from use in a burst, and what filled it since the window's start was taken for what was spilt (twice the burst at most); each window, two fill times long, began with a full store; and use of customers known to ask too much was told only when calls were saved.

Now the total alone says what the store holds. A name lasts as long as it may, and who opens one adds what the last one owed. What went, and what did not go after all, is told with the answer, not in a later round.

Records that are handed over are listed once instead of twice, in parts.rs, to make room.

Small fleets keep their way.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,9 +7,9 @@
 pub use handover::HandoverError;
 
 use crate::api::*;
-use crate::customers::{Customer, News, DEBT_OF_BURST, MEMORY_S, NEWS_LAG, OFTEN};
+use crate::customers::{Customer, News, DEBT_OF_BURST, MEMORY_S, NEWS_LAG, OFTEN, WINDOW};
 use crate::parts::{fade, read, seconds, write, Dice, Line, Rate, LINES};
-use crate::servers::{ejected, Patience, Server, REPORT_S};
+use crate::servers::{ejected, ready, Patience, Server, REPORT_S};
 use std::collections::{BTreeMap, BTreeSet};
 
 // Pacing.
@@ -33,17 +33,15 @@
 const HEARTBEAT: Micros = 500_000; // µs; three lost in a row are rarer than a peer that is down
 const MAIL_PART: f64 = 0.8; // part of a gateway's intake that its peers fill together
 const MAIL: (f64, f64) = (6.0, 400.0); // news of 19 bytes told a request: under half a message; most saved up
-const COUNTER_TTL: Micros = 60_000_000; // µs; the longest life a counter's name may have
 const NAME_BITS: u32 = 33; // a customer's number is below 2^33; the window's start goes above it in a name
 const COUNT_FRESH: Micros = 200_000; // µs; a total this young needs no second look
 const COUNT_SURE: f64 = 0.5; // of the burst; a store with less may be drawn dry by others meanwhile
 const COUNT_FELL: f64 = 0.5; // part of the total; one that fell by more has started anew
-const CALLS: (f64, f64, f64) = (0.05, 1.5, 10.0); // least, to see a counter return; most; saved
+const CALLS: (f64, f64, f64) = (0.05, 2.5, 10.0); // least, to see a counter return; most; saved
 const CALLS_FIRST: (f64, f64) = (0.3, 2.0); // calls a request, and saved, where many may start at once
 const CALLS_SPARED: f64 = CALLS.2 / 2.0; // of these, what use told after the fact leaves to requests that ask
 const CALLS_SPEED: (f64, f64) = (1.1, 0.7); // a quick reply raises the calls, a slow one lowers them
-const QUICK: (Micros, Micros) = (2, 4); // a reply within this part of a call's time limit is quick; of many
-                                        // gateways', since all of them are late to see a line grow
+const QUICK: (Micros, Micros) = (2, 4); // a reply within this part of a call's time limit is quick
 const CROWDED: Micros = 300_000; // µs; what was called before the last cut tells nothing of it
 
 // Servers.
@@ -75,8 +73,6 @@
 
 type Out<'a> = &'a mut Vec<Action>;
 
-// ---- Requests ----
-
 struct Attempt {
     server: ServerId,
     sent: Micros,
@@ -135,7 +131,7 @@
     call_share: f64,
     cut: Micros,
     changed: BTreeSet<CustomerId>,
-    asked: BTreeMap<CounterId, (CustomerId, Micros)>,
+    asked: BTreeMap<CounterId, (CustomerId, Micros, Micros)>,
     begun: bool,
     turn: f64,
     ends: Micros,
@@ -279,16 +275,14 @@
     /// gateways sends in turn to a part of the servers, its own: spread over all, its few requests would each
     /// need a new connection, tell little of any server, and pile up by chance. Past servers that may not be
     /// used it goes on to the next, so that parts stay as large.
-    fn pick(&mut self, now: Micros, id: RequestId, again: bool) -> Option<(ServerId, f64)> {
-        let r = self.requests.get(&id)?;
-        let ready: Vec<ServerId> =
-            self.servers.iter().filter(|(_, x)| x.entry.state == State::Ready).map(|(id, _)| *id).collect();
-        let (plan, effect) = (r.plan, self.settings.classes[r.class].effect);
+    fn pick(&self, now: Micros, id: RequestId, again: bool) -> Option<(ServerId, f64)> {
+        let (s, r) = (&self.settings, self.requests.get(&id)?);
+        let ready: Vec<ServerId> = ready(&self.servers).map(|x| x.entry.server).collect();
+        let (plan, effect) = (r.plan, s.classes[r.class].effect);
         let (n, looks) = (ready.len(), self.part(ready.len()));
         let part = looks < n;
         // Gateways begin at places spread evenly over the list, neighbours far apart.
-        let start = if part { ((self.settings.me as f64 * GOLDEN).fract() * n as f64) as usize } else { 0 };
-        let (s, r) = (&self.settings, self.requests.get(&id)?);
+        let start = if part { ((s.me as f64 * GOLDEN).fract() * n as f64) as usize } else { 0 };
         let trust = ejected(&self.servers, now) > 0;
         let ran = r.attempts.iter().find(|a| a.may_have_run || a.open);
         let home = ran.and_then(|a| self.servers.get(&a.server)).map(|x| (x.entry.zone, x.entry.cell));
@@ -342,7 +336,7 @@
     /// grew them; could harm after a lull: the floor serves then, less of it the longer answers take.
     fn pressed(&self, now: Micros, worth: f64) -> bool {
         let room = LEAST_ROOM + (1.0 - LEAST_ROOM) * worth / self.dearest.max(1e-9);
-        let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count() as f64;
+        let ready = ready(&self.servers).count() as f64;
         let slow = (ANSWER_OF_AIM / self.strain.max(1e-9)).min(1.0);
         let floor = slow * FLOOR_HELD * ready / self.settings.gateways as f64;
         let bound = floor.max(FLOW_ROOM * self.flow.get(now, MEMORY_S)).max(1.0);
@@ -440,8 +434,8 @@
         let (class, home) = (&s.classes[r.class], &self.servers.get(&server)?.entry);
         let limit = self.patience.limit(r.class, class.aim);
         let others = |same: &dyn Fn(&Entry) -> bool| {
-            let good = self.servers.values().filter(|x| x.entry.state == State::Ready && x.ejected <= now);
-            good.filter(|x| x.entry.server != server && same(&x.entry)).count() > 0
+            let mut good = ready(&self.servers).filter(|x| x.ejected <= now);
+            good.any(|x| x.entry.server != server && same(&x.entry))
         };
         let ran = r.attempts.iter().find(|a| a.may_have_run).map_or(now, |a| a.sent);
         let follows = match class.effect {
@@ -565,7 +559,7 @@
         }
         let Some(used) = used.filter(|u| u.is_finite() && *u >= 0.0 && plan.rate > 0.0) else { return };
         self.metered = now;
-        if c.demand_at == 0 && used >= SPENT {
+        if c.few() && c.demand_at == 0 && used >= SPENT {
             c.level = c.level.min((plan.burst - c.total.unwrap_or(plan.burst)).max(0.0));
         }
         let before = c.demand(now);
@@ -677,53 +671,62 @@
         if c.calling || self.calls < 1.0 {
             return c.calling;
         }
-        self.calls -= 1.0;
         c.calling = true;
         // What is reserved counts as used until the request goes; a refused one gives it back.
-        c.adding = c.uncounted + std::mem::take(&mut c.owed) + reserve;
+        c.adding = c.uncounted + std::mem::take(&mut c.owed) + c.mending + reserve;
         c.uncounted = -reserve;
-        let start = c.window(now);
-        let counter = CounterId(id.0 ^ (start / 1_000) << NAME_BITS);
-        self.asked.insert(counter, (id, start));
-        out.push(Action::Count { counter, amount: c.adding, ttl: COUNTER_TTL });
+        let (start, amount) = (c.window(now, id), c.adding);
+        self.count(id, start, start, amount, out);
         true
     }
 
-    /// A total of the counter: what it rose by besides our own is others' use. Nothing is ever put right on
-    /// the counter itself: gateways that did so at once would each add the same amount.
+    /// Calls the number of a window; by the total of another it learns what the one from `start` owes.
+    fn count(&mut self, id: CustomerId, window: Micros, start: Micros, amount: f64, out: Out) {
+        let counter = CounterId(id.0 ^ (window / 1_000) << NAME_BITS);
+        self.calls -= 1.0;
+        self.asked.insert(counter, (id, window, start));
+        out.push(Action::Count { counter, amount, ttl: WINDOW });
+    }
+
+    /// A total of the counter: what it rose by besides our own is others' use. Few put nothing right on it.
     fn counted(&mut self, now: Micros, counter: CounterId, end: (Option<f64>, bool, Micros), out: Out) {
         let (total, lost, took) = end;
-        let limit = self.settings.allow.count_limit;
-        let quick = if self.settings.gateways > OFTEN { QUICK.1 } else { QUICK.0 };
+        let (limit, many) = (self.settings.allow.count_limit, self.settings.gateways > OFTEN);
+        let quick = if many { QUICK.1 } else { QUICK.0 };
         let quick = total.is_some() && (limit == 0 || took < limit / quick);
         if quick || now >= self.cut + CROWDED {
             let gain = if quick { CALLS_SPEED.0 } else { CALLS_SPEED.1 };
             self.call_share = (self.call_share * gain).clamp(CALLS.0, CALLS.1);
             self.cut = if quick { self.cut } else { now };
         }
-        let Some((id, start)) = self.asked.remove(&counter) else { return };
+        let roll = self.dice.roll();
+        let Some((id, window, start)) = self.asked.remove(&counter) else { return };
         let Some(c) = self.customers.get_mut(&id) else { return };
         c.calling = false;
-        let added = std::mem::take(&mut c.adding);
+        let (added, waiting) = (std::mem::take(&mut c.adding), std::mem::take(&mut c.waiting));
         if let Some(total) = total.filter(|t| t.is_finite()) {
             c.refill(now, 0.0, News::Told);
-            // Of use before this window only the meter tells; a customer new here was full when it began.
-            let (before, fresh) = (total - added, c.counted < start);
-            let last = c.total.replace(total).filter(|_| !fresh).unwrap_or(if fresh { 0.0 } else { before });
-            if fresh && c.counted == 0 {
-                c.spilt = c.spilt.max(c.terms.rate * seconds(now.saturating_sub(start)));
-            } else if fresh {
-                c.spilt -= c.demand(now).min(1.0) * c.terms.rate * seconds(start - c.counted);
+            let before = total - added;
+            if c.few() {
+                let last = c.total.replace(total).unwrap_or(before);
+                let others = if before < last * COUNT_FELL { before.max(0.0) } else { before - last };
+                // A call that had no answer may have been added, and then is none of theirs. They took theirs
+                // while the store filled, so first of what it could not hold. What several took at once, each
+                // by a total of some age, is owed; tries beyond that took nothing.
+                let others = others - std::mem::take(&mut c.unsure).clamp(0.0, others.max(0.0));
+                let lag = seconds(COUNT_FRESH) * c.terms.rate * c.spread as f64;
+                let least = c.level.min(-lag.min(c.terms.burst * DEBT_OF_BURST));
+                c.level = (c.level + std::mem::take(&mut c.spilt) - others).clamp(least, c.terms.burst);
+            } else if window != start {
+                c.carry_over(total);
+            } else if before == 0.0 && c.opens(now, start) {
+                // Who opens a window looks up what the one before left owing.
+                (c.calling, c.total) = (true, Some(total));
+                self.count(id, start - WINDOW, start, 0.0, out);
+            } else {
+                c.counted_by_many(now, start, total, added, roll);
             }
-            let others = if before < last * COUNT_FELL { before.max(0.0) } else { before - last };
-            // A call that had no answer may have been added, and then is none of theirs.
-            let others = others - std::mem::take(&mut c.unsure).clamp(0.0, others.max(0.0));
-            // They took theirs while the store filled, so first of what it could not hold. What several
-            // gateways took at once, each by a total of some age, is owed; tries beyond that took nothing.
-            let lag = seconds(COUNT_FRESH) * c.terms.rate * c.spread as f64;
-            let lag = lag.min(c.terms.burst * DEBT_OF_BURST);
-            let least = (-lag).min(c.level);
-            c.level = (c.level + std::mem::take(&mut c.spilt) - others).clamp(least, c.terms.burst);
+            let Some(c) = self.customers.get_mut(&id) else { return };
             c.counted = now;
             if !c.few() {
                 c.credit = c.level.max(0.0);
@@ -732,16 +735,24 @@
                 c.learn(now, DRY, 0.0);
             }
         } else if lost {
-            c.unsure += added;
+            (c.unsure, c.mending) = (c.unsure + added, 0.0);
         } else {
-            c.uncounted += added;
+            c.uncounted += added - std::mem::take(&mut c.mending);
         }
         self.changed.insert(id);
-        for waits in std::mem::take(&mut c.waiting) {
+        for waits in waiting {
             if self.requests.get(&waits).is_some_and(|r| r.held) {
                 self.leave(now, waits, out);
             }
         }
+        // All gateways go by the total: what it lacks, or holds for one that did not go, waits for no round.
+        let answered = |c: &&Customer| total.is_some() && !c.few() && !c.calling;
+        let Some(c) = self.customers.get(&id).filter(answered) else { return };
+        if c.mending != 0.0 || c.uncounted != 0.0 {
+            let urgent = c.mending != 0.0 || c.uncounted > 0.0;
+            self.calls = self.calls.max(f64::from(u8::from(urgent)));
+            self.call(now, id, 0.0, out);
+        }
     }
 
     fn round(&mut self, now: Micros, out: Out) {
@@ -758,12 +769,11 @@
             }
         }
         self.tell(now, out);
-        let ready = self.servers.values().filter(|x| x.entry.state == State::Ready).count().max(1);
-        let (part, warm) = (self.part(ready).max(1) as f64, ready as f64);
         let (sends, rules) = (self.sends.get(now, MEMORY_S), &self.settings.rules);
+        let warm = ready(&self.servers).count().max(1);
+        let (part, warm) = (self.part(warm).max(1) as f64, warm as f64);
         // Where many are cold at once, a warm one takes far more than the mean.
-        let up = self.servers.values().filter(|x| x.entry.state == State::Ready);
-        let part = part * up.map(|x| x.ramp(now, rules)).sum::<f64>().max(1.0) / warm;
+        let part = part * ready(&self.servers).map(|x| x.ramp(now, rules)).sum::<f64>().max(1.0) / warm;
         for x in self.servers.values_mut() {
             let pace = COLD_SAFETY * rules.fall_multiple * x.ramp(now, rules) * sends / part;
             let most = (pace * seconds(rules.fall)).max(1.0);
@@ -774,8 +784,7 @@
         if s.probes && s.reports == Reports::Probe && seconds(every) <= REPORT_S && now >= self.probed + every
         {
             self.probed = now;
-            let ready = self.servers.iter().filter(|(_, x)| x.entry.state == State::Ready);
-            out.extend(ready.map(|(id, _)| Action::Probe { server: *id }));
+            out.extend(ready(&self.servers).map(|x| Action::Probe { server: x.entry.server }));
         }
         self.customers.retain(|_, c| c.open > 0 || c.calling || now < c.filled + c.idle_after());
         out.push(Action::Timer { at: now + ROUND, timer: TURN });
--- a/src/customers.rs
+++ b/src/customers.rs
@@ -16,7 +16,10 @@
 pub(crate) const DEBT_OF_BURST: f64 = 0.5; // most of a burst that others' use may put a bucket below nothing
 
 pub(crate) const OFTEN: usize = 8; // gateways; one of so few sees a customer often enough to tell its use by differences
-const WINDOW_OF_BURST: f64 = 2.0; // times to fill the burst; what a window's start takes for full is gone then
+pub(crate) const WINDOW: Micros = 60_000_000; // µs; the longest life of a counter's name
+const SPILL_OF_BURST: f64 = 0.25; // a total behind by more than this hides how much the store spilt
+const SELDOM: f64 = 0.1; // part of those who see a total far ahead that put it right
+const ECHO: f64 = 0.8; // part of a correction; others that rose by so much meanwhile made the same one
 
 /// A customer as this gateway sees it.
 #[derive(Default)]
@@ -48,6 +51,8 @@
     pub total: Option<f64>,
     pub unsure: f64,
     pub spilt: f64,
+    /// What the call that is out corrects the total by.
+    pub mending: f64,
     pub waiting: Vec<RequestId>,
 }
 
@@ -81,15 +86,47 @@
         self.spread <= OFTEN
     }
 
-    /// Start of the window in which use is counted under a name of its own. One of many gateways sees a customer
-    /// seldom, so a total must tell by itself since when; among few the name lasts, and its window starts at 0.
-    pub fn window(&self, now: Micros) -> Micros {
-        let length = WINDOW_OF_BURST * self.terms.burst / self.terms.rate.max(1e-3) * 1e6;
-        if !self.few() {
-            now - now % (length as Micros).max(1)
-        } else {
-            0
+    /// Start of the window in which use is counted under a name of its own, as long as a name lives. One of many
+    /// gateways sees a customer seldom, so a total must tell by itself since when; among few the window starts at 0.
+    pub fn window(&self, now: Micros, id: CustomerId) -> Micros {
+        // Not all customers' begin at once.
+        let phase = id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) % WINDOW;
+        if self.few() || now < WINDOW {
+            return 0;
         }
+        now - (now - phase) % WINDOW
+    }
+
+    /// Whether what the window before left owing may still bear on one that began then.
+    pub fn opens(&self, now: Micros, start: Micros) -> bool {
+        start >= WINDOW && self.terms.rate * seconds(now - start) < self.terms.burst * (1.0 + DEBT_OF_BURST)
+    }
+
+    /// Takes the last total of the window before, in which the store was full at first: the next one starts with
+    /// what that lacks.
+    pub fn carry_over(&mut self, total: f64) {
+        let most = self.terms.burst * (1.0 + DEBT_OF_BURST);
+        self.mending = (total - self.terms.rate * seconds(WINDOW)).clamp(0.0, most);
+        self.level -= self.mending;
+    }
+
+    /// Takes a total of the window that began at `start`, which alone says what the store of many gateways holds: it
+    /// was full then, and has been filled since. Where the total lags behind that, the rest ran over; it has to be
+    /// added, or the next burst would have it.
+    pub fn counted_by_many(&mut self, now: Micros, start: Micros, total: f64, added: f64, roll: f64) {
+        let mended = std::mem::take(&mut self.mending);
+        let others = total - added - self.total.replace(total).unwrap_or(total - added);
+        if mended != 0.0 && others / mended >= ECHO {
+            // Another gateway saw the same and was quicker.
+            self.mending = -mended;
+            return;
+        }
+        let over = self.terms.rate * seconds(now - start) - total - self.uncounted - self.owed;
+        self.level = self.terms.burst + over.min(0.0);
+        let lost = (over + self.terms.burst * (1.0 + DEBT_OF_BURST)).min(0.0);
+        // One that is far ahead may only wait for a correction of it to be taken back.
+        let seldom = if roll < SELDOM { lost } else { 0.0 };
+        self.mending = if over > SPILL_OF_BURST * self.terms.burst { over } else { seldom };
     }
 
     /// Fills the bucket, its slice and that of the ceiling; a slice below one request still serves one.
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -3,10 +3,10 @@
 use super::Gateway;
 use crate::api::*;
 use crate::customers::Customer;
-use crate::parts::Rate;
+use crate::parts::{next, record};
 use crate::servers::Server;
 use std::fmt::Write;
-use std::str::{FromStr, SplitAsciiWhitespace};
+use std::str::SplitAsciiWhitespace;
 
 /// The version of the text, its first word.
 const VERSION: &str = "frostgauge-1";
@@ -26,17 +26,12 @@
 
 impl std::error::Error for HandoverError {}
 
-fn next<T: FromStr>(words: &mut SplitAsciiWhitespace<'_>) -> Option<T> {
-    words.next()?.parse().ok()
-}
-
-fn figure(words: &mut SplitAsciiWhitespace<'_>) -> Option<f64> {
-    next(words).filter(|f: &f64| f.is_finite())
-}
-
-fn rate(words: &mut SplitAsciiWhitespace<'_>) -> Option<Rate> {
-    Some(Rate { value: figure(words)?, at: next(words)? })
-}
+record!(write_gateway, read_gateway, Gateway:
+    strain, call_share, metered, sends.value, sends.at, flow.value, flow.at);
+record!(write_server, read_server, Server: ok, judged, ejected, ejections, item_us, credit, open);
+record!(write_customer, read_customer, Customer:
+    plan, spread, first, level, credit, filled, mine.value, mine.at, demand, demand_at, delay_ms, interval_at,
+    arrived, next_leave, slice, uncounted, unsure, counted, spilt);
 
 impl Gateway {
     /// No deadline lies past the end of this process: a request still open then would never be answered.
@@ -51,24 +46,19 @@
     /// What the next process has to know. What was not counted yet is its to count; this one keeps what its
     /// open requests still settle for.
     pub fn hand_over(&mut self) -> String {
-        let (s, f) = (&self.sends, &self.flow);
-        let mut text = format!("{VERSION}\ngateway {} {} {} ", self.strain, self.call_share, self.metered);
+        let mut text = format!("{VERSION}\ngateway {}\n", write_gateway(self));
         // Writing to a string cannot fail.
-        let _ = writeln!(text, "{} {} {} {}", s.value, s.at, f.value, f.at);
         for (id, x) in &self.servers {
-            let _ = write!(text, "server {} {} {} {} ", id.0, x.ok, x.judged, x.ejected);
-            let _ = writeln!(text, "{} {} {} {}", x.ejections, x.item_us, x.credit, x.open);
+            let _ = writeln!(text, "server {} {}", id.0, write_server(x));
         }
         for (id, c) in &mut self.customers {
+            c.uncounted += std::mem::take(&mut c.owed);
             // A call that is out may have been added by the time of the next one.
-            let unsure = c.unsure + c.adding;
-            let counted = std::mem::take(&mut c.uncounted) + std::mem::take(&mut c.owed);
+            let unsure = c.unsure;
+            c.unsure += c.adding;
             let total = c.total.map_or("-".to_owned(), |t| t.to_string());
-            let _ = write!(text, "customer {} {} {} {} ", id.0, c.plan, c.spread, c.first);
-            let _ = write!(text, "{} {} {} {} {} ", c.level, c.credit, c.filled, c.mine.value, c.mine.at);
-            let _ = write!(text, "{} {} {} {} ", c.demand, c.demand_at, c.delay_ms, c.interval_at);
-            let _ = write!(text, "{} {} {} {counted} {unsure} ", c.arrived, c.next_leave, c.slice);
-            let _ = writeln!(text, "{} {} {total}", c.counted, c.spilt);
+            let _ = writeln!(text, "customer {} {} {total}", id.0, write_customer(c));
+            (c.uncounted, c.unsure) = (0.0, unsure);
         }
         text
     }
@@ -85,15 +75,17 @@
             let mut words = text.split_ascii_whitespace();
             let read = match words.next() {
                 Some("gateway") => read_gateway(&mut words).map(|g| gateways.push(g)),
-                Some("server") => read_server(&mut words).map(|x| servers.push(x)),
+                Some("server") => next(&mut words)
+                    .zip(read_server(&mut words))
+                    .map(|(id, x)| servers.push((ServerId(id), x))),
                 Some("customer") => self.read_customer(&mut words).map(|c| customers.push(c)),
                 _ => None,
             };
             read.ok_or(HandoverError { line })?;
         }
-        for (strain, call_share, metered, sends, flow) in gateways {
-            (self.strain, self.call_share, self.metered) = (strain, call_share, metered);
-            (self.sends, self.flow) = (sends, flow);
+        for g in gateways {
+            (self.strain, self.call_share, self.metered) = (g.strain, g.call_share, g.metered);
+            (self.sends, self.flow) = (g.sends, g.flow);
         }
         for (id, seen) in servers {
             let Some(x) = self.servers.get_mut(&id) else { continue };
@@ -108,56 +100,15 @@
     }
 
     fn read_customer(&self, words: &mut SplitAsciiWhitespace<'_>) -> Option<(CustomerId, Customer)> {
-        let (id, plan): (_, usize) = (CustomerId(next(words)?), next(words)?);
-        let terms = self.settings.plans.get(plan)?.clone();
-        let gateways = self.settings.gateways;
-        let spread = next(words).filter(|s| (1..=gateways).contains(s))?;
-        let first = next(words).filter(|f| *f < gateways)?;
-        let customer = Customer {
-            plan,
-            terms,
-            spread,
-            first,
-            level: figure(words)?,
-            credit: figure(words)?,
-            filled: next(words)?,
-            mine: rate(words)?,
-            demand: figure(words)?,
-            demand_at: next(words)?,
-            delay_ms: figure(words)?,
-            interval_at: next(words)?,
-            arrived: figure(words)?,
-            next_leave: next(words)?,
-            slice: figure(words)?,
-            uncounted: figure(words)?,
-            unsure: figure(words)?,
-            counted: next(words)?,
-            spilt: figure(words)?,
-            total: match words.next()? {
-                "-" => None,
-                total => Some(total.parse().ok().filter(|t: &f64| t.is_finite())?),
-            },
-            ..Customer::default()
+        let (id, seen) = (CustomerId(next(words)?), read_customer(words)?);
+        let (terms, gateways) = (self.settings.plans.get(seen.plan)?.clone(), self.settings.gateways);
+        if !(1..=gateways).contains(&seen.spread) || seen.first >= gateways {
+            return None;
+        }
+        let total = match words.next()? {
+            "-" => None,
+            total => Some(next(&mut total.split_ascii_whitespace())?),
         };
-        Some((id, customer))
+        Some((id, Customer { terms, total, ..seen }))
     }
 }
-
-fn read_gateway(words: &mut SplitAsciiWhitespace<'_>) -> Option<(f64, f64, Micros, Rate, Rate)> {
-    Some((figure(words)?, figure(words)?, next(words)?, rate(words)?, rate(words)?))
-}
-
-fn read_server(words: &mut SplitAsciiWhitespace<'_>) -> Option<(ServerId, Server)> {
-    let id = ServerId(next(words)?);
-    let seen = Server {
-        ok: figure(words)?,
-        judged: next(words)?,
-        ejected: next(words)?,
-        ejections: next(words)?,
-        item_us: figure(words)?,
-        credit: figure(words)?,
-        open: next(words)?,
-        ..Server::default()
-    };
-    Some((id, seen))
-}
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -1,6 +1,8 @@
-//! Messages between gateways as bytes, a seeded random number and a fading rate; nothing is decided here.
+//! Messages between gateways as bytes, records handed over as text, a seeded random number and a fading rate;
+//! nothing is decided here.
 
 use crate::api::{CustomerId, Micros};
+use std::str::{FromStr, SplitAsciiWhitespace};
 
 /// The version of the messages, their first byte.
 const VERSION: u8 = 1;
@@ -50,6 +52,29 @@
     Some((u32::from_be_bytes([0, head[1], head[2], head[3]]), rows.collect::<Option<_>>()?))
 }
 
+/// The next word as a number; none that is not finite has only these bytes and so few of them.
+pub(crate) fn next<T: FromStr>(words: &mut SplitAsciiWhitespace<'_>) -> Option<T> {
+    let sound = |w: &&str| w.len() < 300 && w.bytes().all(|b| b.is_ascii_digit() || b".-".contains(&b));
+    words.next().filter(sound)?.parse().ok()
+}
+
+/// The numbers of a record in their order: how they are written, each after a space, and read again.
+macro_rules! record {
+    ($write:ident, $read:ident, $record:ident: $($($field:ident).+),+) => {
+        fn $write(x: &$record) -> String {
+            [$(x.$($field).+.to_string()),+].join(" ")
+        }
+
+        fn $read(words: &mut SplitAsciiWhitespace<'_>) -> Option<$record> {
+            let mut x = $record::default();
+            $(x.$($field).+ = next(words)?;)+
+            Some(x)
+        }
+    };
+}
+
+pub(crate) use record;
+
 /// Random numbers from a seed (SplitMix64).
 #[derive(Default)]
 pub(crate) struct Dice(pub u64);
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -72,11 +72,15 @@
     }
 }
 
+/// The servers that take work.
+pub(crate) fn ready(servers: &BTreeMap<ServerId, Server>) -> impl Iterator<Item = &Server> {
+    servers.values().filter(|x| x.entry.state == State::Ready)
+}
+
 /// How many of the servers that take work are avoided for their verdicts; none while too many look bad.
 pub(crate) fn ejected(servers: &BTreeMap<ServerId, Server>, now: Micros) -> usize {
-    let ready = || servers.values().filter(|x| x.entry.state == State::Ready);
-    let out = ready().filter(|x| x.ejected > now).count();
-    if out as f64 <= EJECT_SHARE * ready().count() as f64 {
+    let out = ready(servers).filter(|x| x.ejected > now).count();
+    if out as f64 <= EJECT_SHARE * ready(servers).count() as f64 {
         out
     } else {
         0
