Call discovery anew within 5 s of the last call's begin, however that one ended

At fault: discovery.rs run(), where the pause after a failed call was drawn without regard to how long that call had hung. With 350 processes and a list that is asked for, a call that hung 4.5 s and broke off was followed by 2 to 4 s of pause. Ruled out: silent calls (no pause follows) and agents (0.9 s a call). The test had the news after 7.7 s without this; with it within 6 s at 2 and at 350 processes.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -40,6 +40,9 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(60));
 /// The longest pause of a small fleet, and of any: what discovery tells must not be learnt much later.
 const BACKOFF_MOST: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(4_000));
+/// What discovery has counts as told 6 s after it could be reached, however the call that was out then ends: the next
+/// one begins so long after it at the latest, and has the rest for its answer.
+const NEXT_CALL: Duration = Duration::from_millis(5_000);
 /// Largest list taken in.
 const LIST_MOST: usize = 4 << 20;
 
@@ -266,7 +269,7 @@
                     }
                     core.servers(ListKind::Failed, Vec::new());
                     let pause = self.pauses.after(&e, self.asked);
-                    self.pause(pause, &mut agents).await;
+                    self.pause(pause.min(NEXT_CALL.saturating_sub(begun.elapsed())), &mut agents).await;
                 }
             }
         }
--- a/gateway/tests/loopback/discovery.rs
+++ b/gateway/tests/loopback/discovery.rs
@@ -102,6 +102,30 @@
     assert_eq!(gateway.client().call(&status()).body, b"second");
 }
 
+/// A call that hung and broke off allows no further pause that passes the 6 s after which a change counts as told,
+/// however many gateways share the service.
+#[test]
+fn a_watch_that_breaks_off_late_is_opened_anew_before_its_news_counts_as_told() {
+    for gateways in [2, 350] {
+        let (first, second) = (named("first"), named("second"));
+        let known = [entry("s-1", first.address, "room-a", "ready")];
+        let agent = Agent::start(known.to_vec());
+        let mut config = config(&agent, &known);
+        config["settings"]["siblings"] = json!(gateways);
+        config["settings"]["discovery"] = json!("ask");
+        let gateway = Gateway::start(&config);
+        agent.called(1);
+        let from = Instant::now();
+        agent.treat(Odd::CloseAfter(Duration::from_millis(4_500)));
+        agent.change(vec![
+            entry("s-1", first.address, "room-a", "draining"),
+            entry("s-2", second.address, "room-a", "ready"),
+        ]);
+        assert!(from.elapsed() < Duration::from_millis(6_000), "{gateways}: after {:?}", from.elapsed());
+        assert_eq!(gateway.client().call(&status()).body, b"second");
+    }
+}
+
 /// What the agent gets when discovery is back counts as told at once, though the calls made before stay unanswered.
 #[test]
 fn what_changed_while_discovery_was_down_is_known_soon_after_its_return() {
--- a/gateway/tests/loopback/rig.rs
+++ b/gateway/tests/loopback/rig.rs
@@ -196,6 +196,8 @@
     Down,
     /// Closes the connection of the one that is open.
     Close,
+    /// Leaves the one that is open unanswered for so long, and closes its connection then.
+    CloseAfter(Duration),
     /// Answers the one that is open with this and no more.
     Says(String),
 }
@@ -242,6 +244,10 @@
             match odd {
                 None => {}
                 Some(Odd::Close) => return,
+                Some(Odd::CloseAfter(time)) => {
+                    drop(list);
+                    return thread::sleep(time);
+                }
                 Some(Odd::Silence | Odd::Down) => {
                     drop(list);
                     return drop(reader.read_to_end(&mut Vec::new()));
