Test that nothing more is sent for clients that left, after a failed attempt and under a long body

Two crossings that had no test: an attempt that fails (503 turned away, 500) after its client ended its side is followed by no other, and a body of 150 KiB whose client leaves while its connection comes up is not sent. Both hold without a change of the program.

--- a/gateway/tests/loopback/servers.rs
+++ b/gateway/tests/loopback/servers.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn ok() -> Does {
     Does::Answers("200 OK", b"done".to_vec())
@@ -192,6 +192,72 @@
     }
 }
 
+/// The same of a body so long that it is not read whole before it goes on: its client's end lies behind the rest.
+#[test]
+fn nothing_is_sent_of_a_long_body_whose_client_left_meanwhile() {
+    let (listener, filling) = unreachable();
+    let known = [entry("s-1", listener.local_addr().unwrap(), "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut config = patient(&agent, &known);
+    config["settings"]["classes"][1]["deadlineUs"] = json!(20_000_000);
+    let gateway = Gateway::start(&config);
+    let mut leaves = gateway.client();
+    let long = "x".repeat(150 << 10);
+    leaves.write(&notice(&long).replace("X-Budget-Ms: 1900", "X-Budget-Ms: 20000"));
+    let from = Instant::now();
+    leaves.end();
+    // It is told, or closed, and so nothing waits any more before any server is there.
+    assert!(leaves.answer().is_none_or(|answer| answer.status() == 429));
+    assert!(from.elapsed() < Duration::from_secs(10), "noticed after {:?}", from.elapsed());
+    let mut stays = gateway.client();
+    stays.write(&notice("stays").replace("X-Budget-Ms: 1900", "X-Budget-Ms: 20000"));
+    assert_eq!(gateway.client().call("GET /other HTTP/1.1\r\nHost: a\r\n\r\n").status(), 400);
+    drop(filling);
+    let server = Server::on(listener, |_| ok());
+    assert_eq!(stays.answer().expect("no answer").status(), 200);
+    assert!(seen(&server).body == b"stays", "the long body went on");
+    let more = server.unread().into_iter().filter(|note| matches!(note, Note::Request(_))).count();
+    assert_eq!(more, 0);
+}
+
+/// An attempt that fails after its client has left is followed by no other, however it failed.
+#[test]
+fn no_further_attempt_begins_for_a_client_that_left_during_the_first() {
+    for end in ["503 Full\r\nX-Rejected: 1", "500 Error"] {
+        let (release, wait) = std::sync::mpsc::channel::<()>();
+        let wait = std::sync::Mutex::new(wait);
+        let server = Server::start(move |n| {
+            if n > 0 {
+                return ok();
+            }
+            wait.lock().unwrap().recv().unwrap();
+            Does::Answers(end, Vec::new())
+        });
+        let (gateway, _agent) = Gateway::before(&[("s-1", &server, "room-a"), ("s-2", &server, "room-a")]);
+        let mut leaves = gateway.client();
+        leaves.write(&status());
+        server.request();
+        leaves.end();
+        assert!(leaves.answer().is_some_and(|a| a.status() >= 400));
+        release.send(()).unwrap();
+        // One that comes after the failed answer is the next that is seen.
+        let mut stays = gateway.client();
+        for _ in 0..3 {
+            assert_eq!(stays.call(&payout("stays")).status(), 200);
+            assert_eq!(seen(&server).body, b"stays");
+        }
+    }
+}
+
+/// The next request that the server saw.
+fn seen(server: &Server) -> Message {
+    loop {
+        if let Note::Request(message) = server.note() {
+            return message;
+        }
+    }
+}
+
 /// A client that ends its own side has gone away for all that anybody can tell, but may still read: it is told how
 /// its request ended.
 #[test]
