Test that a cold server is not overrun by 20, 30 or 300 gateways, repeats counted

The new term: beyond the budget N of all processes together only twice the root of N and two more are chance. Requests of 20 to 300 gateways on 10 to 60 servers, one in five turned away once and repeated, others coming and going: all within it without a change of the program, so the suspects (drawn credit, a whole call saved) were not seen to break it at these sizes.

--- a/tests/many.rs
+++ b/tests/many.rs
@@ -164,6 +164,92 @@
     assert!(to_cold as f64 > least, "{to_cold} of {total}, at least {least}");
 }
 
+/// A cold server bears N calls within the time that the settings name, and by chance twice the root of N and two more,
+/// from all gateways together: their first calls and repeats, while other servers come and go, which moves the parts.
+#[test]
+fn a_cold_server_is_not_overrun_by_twenty_gateways_nor_by_hundreds() {
+    for (n, servers, changing) in
+        [(20, 10, false), (30, 10, false), (30, 20, true), (300, 20, true), (300, 60, true)]
+    {
+        let mut s = metered();
+        s.plans[0] = Plan { rate: 1000.0, burst: 1000.0, ..plan() };
+        let rules = s.rules.clone();
+        let list: Vec<Entry> = (0..servers as u64).map(|k| entry(k, 0)).collect();
+        let mut all: Vec<Gateway> = (0..n)
+            .map(|me| {
+                (s.me, s.gateways) = (me, n);
+                let mut g = Gateway::new(s.clone(), 31 * me as u64 + 7, S).expect("sound settings");
+                let event = Event::Servers { kind: ListKind::Full, entries: list.clone() };
+                g.handle(S, event, &mut Vec::new());
+                g
+            })
+            .collect();
+        // Twenty requests a second for each server, one of five attempts turned away unseen.
+        let (gap, born) = (S / (20 * servers as u64), 4 * S);
+        let (mut to_cold, mut total): (Vec<Micros>, u64) = (Vec::new(), 0);
+        let mut pace = 0;
+        for (k, now) in (0..).map(|k| (k, 2 * S + k * gap)).take_while(|(_, now)| *now < 10 * S) {
+            let me = (k as usize * 7919) % n;
+            if now / (100 * MS) != pace {
+                pace = now / (100 * MS);
+                let mut entries = Vec::new();
+                if pace == born / (100 * MS) {
+                    entries.push(Entry { ready_at: born, ..entry(1_000, 0) });
+                } else if changing && pace > born / (100 * MS) && pace % 3 == 0 {
+                    // Another is replaced by one that is warm.
+                    let old = Entry { state: State::Gone, ..entry(pace / 3 % (servers as u64 / 2), 0) };
+                    entries = vec![old, entry(2_000 + pace, 0)];
+                }
+                for g in &mut all {
+                    let (kind, entries) = (ListKind::Delta, entries.clone());
+                    g.handle(now, Event::Servers { kind, entries }, &mut Vec::new());
+                    g.handle(now, Event::Timer { timer: TimerId(u64::MAX) }, &mut Vec::new());
+                }
+            }
+            let mut out = Vec::new();
+            all[me].handle(now, request(k, k, n), &mut out);
+            let mut attempt = 0;
+            while let Some(server) = sent(&out) {
+                total += 1;
+                if server == ServerId(1_000) {
+                    to_cold.push(now);
+                }
+                let full = attempt == 0 && k % 5 == 0;
+                let (status, closed) = if full { (Status::Full, false) } else { (Status::Ok, true) };
+                let id = RequestId(k);
+                let end = Event::Outcome {
+                    id,
+                    attempt,
+                    server,
+                    status,
+                    took: 50 * MS,
+                    closed,
+                    used: None,
+                    settled: None,
+                    load: None,
+                };
+                out = Vec::new();
+                all[me].handle(now, end, &mut out);
+                attempt += 1;
+            }
+        }
+        assert!(total > 20 * servers as u64 * 7, "{total}");
+        for (k, from) in to_cold.iter().enumerate() {
+            let got = to_cold[k..].iter().take_while(|at| **at < from + rules.fall).count() as f64;
+            let up = (from - born) as f64 / rules.cold as f64;
+            let ramp = rules.cold_from + (1.0 - rules.cold_from) * up;
+            let budget = rules.fall_multiple * ramp * 20.0 * rules.fall as f64 / 1e6;
+            let most = budget + 2.0 * budget.sqrt() + 2.0;
+            let age = (from - born) / MS;
+            assert!(
+                got <= most,
+                "{n} gateways, {servers} servers: {got} from {age} ms on, {most:.1} at most"
+            );
+        }
+        assert!(to_cold.len() > 3, "{n} gateways: only {} in all", to_cold.len());
+    }
+}
+
 #[test]
 fn ceilings_add_up_over_all_gateways_and_restarts() {
     let mut s = metered();
