--- a/gateway/tests/loopback/discovery.rs
+++ b/gateway/tests/loopback/discovery.rs
@@ -126,6 +126,44 @@
     }
 }
 
+/// Whether a list is pushed or asked for, among few or many, and whether the call before was refused or given up just as
+/// discovery returned: what it has then is known within the 6 s after which it counts as told.
+#[test]
+fn what_discovery_has_when_it_returns_is_known_within_six_seconds() {
+    let (first, second) = (named("first"), named("second"));
+    let known = [entry("s-1", first.address, "room-a", "ready")];
+    let replaced = [entry("s-2", second.address, "room-a", "ready")];
+    let case = |mode: &str, gateways: usize, refused: bool| {
+        let agent = Agent::start(known.to_vec());
+        let mut config = config(&agent, &known);
+        config["settings"]["siblings"] = json!(gateways);
+        config["settings"]["discovery"] = json!(mode);
+        let gateway = Gateway::start(&config);
+        agent.called(1);
+        if refused {
+            agent.fail();
+        } else {
+            // The call that is out was begun a moment ago, and stays unanswered for good.
+            agent.treat(Odd::Down);
+            agent.called(1);
+            agent.back();
+        }
+        let from = Instant::now();
+        agent.recover(replaced.to_vec());
+        let took = from.elapsed();
+        assert!(took < Duration::from_millis(6_000), "{mode}, {gateways}, refused {refused}: {took:?}");
+        assert_eq!(gateway.client().call(&status()).body, b"second");
+    };
+    std::thread::scope(|scope| {
+        for (mode, gateways) in [("push", 2), ("push", 350), ("ask", 2), ("ask", 350)] {
+            for refused in [true, false] {
+                let case = &case;
+                scope.spawn(move || case(mode, gateways, refused));
+            }
+        }
+    });
+}
+
 /// What the agent gets when discovery is back counts as told at once, though the calls made before stay unanswered.
 #[test]
 fn what_changed_while_discovery_was_down_is_known_soon_after_its_return() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -673,7 +673,7 @@
         }
         c.calling = true;
         // What is reserved counts as used until the request goes; a refused one gives it back.
-        c.adding = c.uncounted + std::mem::take(&mut c.owed) + c.mending + reserve;
+        c.adding = c.uncounted + std::mem::take(&mut c.owed) + c.correction + reserve;
         c.uncounted = -reserve;
         let (start, amount) = (c.window(now, id), c.adding);
         self.count(id, start, start, amount, out);
@@ -723,7 +723,7 @@
                 (c.calling, c.total) = (true, Some(total));
                 self.count(id, start - WINDOW, start, 0.0, out);
             } else {
-                c.counted_by_many(now, start, total, added, roll);
+                c.take_shared_total(now, start, total, added, roll);
             }
             let Some(c) = self.customers.get_mut(&id) else { return };
             c.counted = now;
@@ -735,9 +735,9 @@
                 c.learn(now, dry, 0.0);
             }
         } else if lost {
-            (c.unsure, c.mending) = (c.unsure + added, 0.0);
+            (c.unsure, c.correction) = (c.unsure + added, 0.0);
         } else {
-            c.uncounted += added - std::mem::take(&mut c.mending);
+            c.uncounted += added - std::mem::take(&mut c.correction);
         }
         self.changed.insert(id);
         for waits in waiting {
@@ -748,7 +748,7 @@
         // All gateways go by the total: what it lacks, or holds for one that did not go, waits for no round.
         let answered = |c: &&Customer| total.is_some() && !c.few() && !c.calling;
         let Some(c) = self.customers.get(&id).filter(answered) else { return };
-        if c.mending != 0.0 || c.uncounted != 0.0 {
+        if c.correction != 0.0 || c.uncounted != 0.0 {
             self.calls = self.calls.max(1.0);
             self.call(now, id, 0.0, out);
         }
--- a/src/customers.rs
+++ b/src/customers.rs
@@ -17,7 +17,7 @@
 
 pub(crate) const OFTEN: usize = 8; // gateways; one of so few sees a customer often enough to tell its use by differences
 pub(crate) const WINDOW: Micros = 60_000_000; // µs; the longest life of a counter's name
-const UNSEEN_OF_BURST: f64 = 0.2; // kept for what a total never hears of: use that found no call, true units
+const RESERVE_OF_BURST: f64 = 0.2; // kept for what a total never hears of: use that found no call, true units
 const SPILL_OF_BURST: f64 = 0.25; // a total behind by more than this hides how much the store spilt
 const SELDOM: f64 = 0.1; // part of those who see a total far ahead that put it right
 const ECHO: f64 = 0.8; // part of a correction; others that rose by so much meanwhile made the same one
@@ -53,7 +53,7 @@
     pub unsure: f64,
     pub spilt: f64,
     /// What the call that is out corrects the total by.
-    pub mending: f64,
+    pub correction: f64,
     pub waiting: Vec<RequestId>,
 }
 
@@ -107,27 +107,27 @@
     /// what that lacks.
     pub fn carry_over(&mut self, total: f64) {
         let most = self.terms.burst * (1.0 + DEBT_OF_BURST);
-        self.mending = (total - self.terms.rate * seconds(WINDOW)).clamp(0.0, most);
-        self.level -= self.mending;
+        self.correction = (total - self.terms.rate * seconds(WINDOW)).clamp(0.0, most);
+        self.level -= self.correction;
     }
 
     /// Takes a total of the window that began at `start`, which alone says what the store of many gateways holds: it
     /// was full then, and has been filled since. Where the total lags behind that, the rest ran over; it has to be
     /// added, or the next burst would have it.
-    pub fn counted_by_many(&mut self, now: Micros, start: Micros, total: f64, added: f64, roll: f64) {
-        let mended = std::mem::take(&mut self.mending);
+    pub fn take_shared_total(&mut self, now: Micros, start: Micros, total: f64, added: f64, roll: f64) {
+        let corrected = std::mem::take(&mut self.correction);
         let others = total - added - self.total.replace(total).unwrap_or(total - added);
-        if mended != 0.0 && others / mended >= ECHO {
+        if corrected != 0.0 && others / corrected >= ECHO {
             // Another gateway saw the same and was quicker.
-            self.mending = -mended;
+            self.correction = -corrected;
             return;
         }
         let over = self.terms.rate * seconds(now - start) - total - self.uncounted - self.owed;
-        self.level = self.terms.burst * (1.0 - UNSEEN_OF_BURST) + over.min(0.0);
+        self.level = self.terms.burst * (1.0 - RESERVE_OF_BURST) + over.min(0.0);
         let lost = (over + self.terms.burst * (1.0 + DEBT_OF_BURST)).min(0.0);
         // One that is far ahead may only wait for a correction of it to be taken back.
         let seldom = if roll < SELDOM { lost } else { 0.0 };
-        self.mending = if over > SPILL_OF_BURST * self.terms.burst { over } else { seldom };
+        self.correction = if over > SPILL_OF_BURST * self.terms.burst { over } else { seldom };
     }
 
     /// Fills the bucket, its slice and that of the ceiling; a slice below one request still serves one.
