--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,7 @@
 const DEMAND_MOST: f64 = 10.0; // quotas; a reading that is late tells the same excess twice
 const CALM: (f64, f64) = (0.5, 2.0); // quotas; so little use, seen in so many requests, needs no call
 const SPENT: f64 = 1.0; // use of a customer new here that leaves nothing in its store
-const DRY: f64 = 2.0; // quotas; demand supposed of a customer whose counted store is empty...
-const DRIER: f64 = 1.5; // ...and of one found so again: times as much as before
+const DRY: (f64, f64) = (2.0, 1.5); // quotas; demand supposed of an empty counted store; times, if so again
 
 // Peers and counter.
 
@@ -116,6 +115,7 @@
     flow: Rate,
     strain: f64,
     dearest: f64,
+    costliest: f64,
     usual: Vec<f64>,
     patience: Patience,
     out_now: u32,
@@ -144,13 +144,14 @@
         crate::check::check(&settings)?;
         let n = settings.gateways;
         let worth = settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
-        let price = settings.plans.iter().map(|p| p.price).fold(0.0, f64::max);
+        let most = |of: fn(&Plan) -> f64| settings.plans.iter().map(of).fold(0.0, f64::max);
         // So seldom does one gateway write to each of its peers that all of them fill no one's intake.
         let gap = ((n - 1) as f64 * 1e6 / (MAIL_PART * settings.allow.peer_in_per_s).max(0.1)) as Micros;
         Ok(Gateway {
             life: (seed ^ (seed >> 32)) as u32 & 0xff_ffff,
             launched: now,
-            dearest: worth * price,
+            dearest: worth * most(|p| p.price),
+            costliest: most(|p| p.price * p.over_cost),
             usual: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             patience: Patience::new(&settings.classes),
             retries: RETRIES.1 / 2.0,
@@ -214,9 +215,8 @@
         let Some(news) = self.customers.get(&r.customer).map(|c| self.news(now, c)) else { return };
         self.mail = (self.mail + MAIL.0).min(MAIL.1);
         self.calls = (self.calls + self.call_share).min(CALLS.2);
-        // Nor is it worth a call to know of what the back end has no room for.
         let worth = self.settings.classes[r.class].worth * self.settings.plans[r.plan].price;
-        let (paid, roll) = (self.paid(r.plan) || self.pressed(now, worth), self.dice.roll());
+        let paid = self.paid(r.plan) || self.pressed(now, worth); // or no room at the back end: no call
         let Some(c) = self.customers.get_mut(&r.customer) else { return };
         c.refill(now, r.units, news);
         c.pace(now, c.terms.rate * c.share(now, news), cap / 1e3);
@@ -226,9 +226,9 @@
         let (customer, units, deadline) = (r.customer, r.units, r.deadline);
         let covered = c.covers(now, units, news);
         let sure = news == News::Told && c.level >= COUNT_SURE * c.terms.burst;
-        // With few calls left, nor of what costs nothing beyond; and of a dry customer as many ask as may go.
-        let spared = c.terms.over_cost == 0.0 || roll * c.demand(now) >= 1.0;
-        let spared = spared && !c.few() && self.calls < CALLS_FIRST.1;
+        // The fewer calls are left, the more use beyond must cost to be worth one; less where others try too.
+        let gain = c.terms.price * c.terms.over_cost / c.demand(now).max(1.0);
+        let spared = !c.few() && gain < self.costliest * (1.0 - self.calls / CALLS_SPARED);
         let ask = self.settings.allow.counter && !spared && !sure && !c.calm && !paid && c.level >= units;
         let reserve = if c.demand(now) > 1.0 { 0.0 } else { units };
         let mut leave = (c.next_leave.max(now) + (c.delay_ms * 1e3) as Micros).min(now + cap as Micros);
@@ -730,7 +730,7 @@
             if !c.few() {
                 c.credit = c.level.max(0.0);
             }
-            let dry = if c.few() { DRY } else { (DRIER * c.demand(now)).clamp(DRY, DEMAND_MOST) };
+            let dry = if c.few() { DRY.0 } else { (DRY.1 * c.demand(now)).clamp(DRY.0, DEMAND_MOST) };
             if c.level < 1.0 && c.demand(now) < dry {
                 c.learn(now, dry, 0.0);
             }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -499,6 +499,30 @@
     assert!((1..=2).contains(&went), "{went} went where two of four units were left");
 }
 
+/// With few calls left, those go to the plan whose use beyond its quota costs most; with many, to all.
+#[test]
+fn few_calls_go_where_use_beyond_the_quota_costs_most() {
+    let mut s = settings();
+    (s.allow.counter, s.allow.count_limit) = (true, 80 * MS);
+    s.plans.push(Plan { over_cost: 0.2, ..plan() });
+    s.plans.push(Plan { over_cost: 0.0, ..plan() });
+    let mut g = gateway(s, 0, 160, 3);
+    let mut asks = |k: u64, plan: usize, customer: u64| {
+        let mut event = request(k, customer, 160);
+        if let Event::Request { plan: p, .. } = &mut event {
+            *p = plan;
+        }
+        let mut out = Vec::new();
+        g.handle(1_000 * S, event, &mut out);
+        out.iter().any(|a| matches!(a, Action::Count { .. }))
+    };
+    // Two calls are saved at first.
+    assert_eq!([asks(1, 2, 1_001), asks(2, 1, 1_002), asks(3, 0, 1_003)], [false, false, true]);
+    // Those behind one that asks already cost no call, and save some.
+    (10..40).for_each(|k| assert!(!asks(k, 0, 1_003)));
+    assert_eq!([asks(50, 2, 1_004), asks(51, 1, 1_005), asks(52, 0, 1_006)], [true, true, true]);
+}
+
 /// Hundreds that start together must not meet the counter with all they may save up.
 #[test]
 fn many_gateways_begin_to_call_slowly() {
