Add failing tests of short reads and writes, failing accepts and failing starts

The preloaded library is C and built by the tests with the compiler that the linker needs anyway, so that the workspace keeps unsafe code forbidden; a layer inside the gateway would have put test code into the product and could not reach accept, socket and bind.

--- /dev/null
+++ b/crates/gateway/tests/loopback/faults.rs
@@ -0,0 +1,69 @@
+//! System calls that fail in ways that Linux documents: every request still gets its one answer.
+
+use crate::rig::*;
+use std::time::{Duration, Instant};
+
+/// Large enough to be passed on as it comes, and to fill a socket's buffer.
+const LONG_ANSWER: usize = 600_000;
+
+fn gateway_under(faults: &str, server: &Server) -> (Gateway, Agent) {
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    (Gateway::start_under(&patient_config(&agent, &known), faults), agent)
+}
+
+/// Reads of a few bytes each, and writes of a part, are no end and no full socket: the rest goes on at once.
+#[test]
+fn short_reads_and_writes_hold_up_nothing() {
+    for seed in 1..=3 {
+        let server = Server::start(|n| match n % 5 {
+            4 => Does::Answers("200 OK", vec![b'x'; LONG_ANSWER]),
+            _ => Does::Answers("200 OK", format!("answer {n}").into_bytes()),
+        });
+        let faults = format!("read=50 write=50 seed={seed}");
+        let (gateway, agent) = gateway_under(&faults, &server);
+        agent.change(vec![entry("s-2", server.address, "room-b", "ready")]);
+        let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+        let start = Instant::now();
+        for n in 0..40 {
+            let request = if n % 3 == 0 { payout(&"b".repeat(3_000)) } else { status() };
+            let answer = clients[n % 4].call(&request);
+            assert_eq!((answer.status(), answer.whole), (200, true), "seed {seed}, request {n}");
+        }
+        assert!(start.elapsed() < Duration::from_secs(5), "seed {seed}: {:?}", start.elapsed());
+    }
+}
+
+/// A connection that broke before it was accepted, or a network that failed for a moment, costs no other client its
+/// connection, and nobody waits long. Only a lasting want of descriptors makes room by closing one.
+#[test]
+fn a_failing_accept_costs_nobody_a_connection() {
+    for seed in 1..=3 {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let (gateway, _agent) = gateway_under(&format!("accept=50 seed={seed}"), &server);
+        let mut resting: Vec<Client> = (0..8).map(|_| gateway.client()).collect();
+        for client in &mut resting {
+            assert_eq!(client.call(&status()).status(), 200);
+        }
+        for _ in 0..40 {
+            assert_eq!(gateway.client().call(&status()).status(), 200);
+        }
+        for client in &mut resting {
+            client.write(&status());
+            let answer = client.answer().expect("a resting connection was closed");
+            assert_eq!(answer.status(), 200);
+        }
+    }
+}
+
+/// Sockets, addresses and descriptors may not be had for some seconds: a start waits for them.
+#[test]
+fn a_start_survives_two_seconds_without_sockets() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    for faults in ["socket=100", "bind=100", "descriptor=100"] {
+        let start = Instant::now();
+        let (gateway, _agent) = gateway_under(&format!("{faults} for_ms=2000"), &server);
+        assert!(start.elapsed() >= Duration::from_millis(1_900), "{faults} had no effect");
+        assert_eq!(gateway.client().call(&status()).status(), 200);
+    }
+}
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -4,6 +4,8 @@
 mod counter;
 mod departures;
 mod discovery;
+mod fault_library;
+mod faults;
 mod lifecycle;
 mod ops;
 mod rig;
--- a/crates/gateway/tests/loopback/rig.rs
+++ b/crates/gateway/tests/loopback/rig.rs
@@ -1,6 +1,7 @@
 //! The other ends of a gateway's sockets, scripted: servers, a discovery agent and clients, all on loopback
 //! ports that the system picks. Everything waits for events; nothing sleeps.
 
+use crate::fault_library;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -422,13 +423,13 @@
 
 /// The same with a folder for what it takes over.
 pub fn launch_in(text: &str, folder: &Path) -> Child {
-    launch_from(&file(text), 1_024, Some(folder))
+    launch_from(&file(text), 1_024, Some(folder), None)
 }
 
 /// The same with at most so many descriptors, whatever the configuration says.
 fn launch_within(text: &str, descriptors: u32) -> Child {
     let path = file(text);
-    launch_from(&path, descriptors, None)
+    launch_from(&path, descriptors, None, None)
 }
 
 /// A new file with this configuration.
@@ -439,10 +440,15 @@
     path
 }
 
-fn launch_from(path: &Path, descriptors: u32, folder: Option<&Path>) -> Child {
+/// Starts the program under these faults of its system calls, or else under those that all tests run under.
+fn launch_from(path: &Path, descriptors: u32, folder: Option<&Path>, faults: Option<&str>) -> Child {
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_grebehook"))]);
     command.env_remove("TMPDIR").envs(folder.map(|folder| ("TMPDIR", folder)));
+    let faults = faults.map(str::to_owned).or_else(|| std::env::var(fault_library::ALL_TESTS).ok());
+    if let Some(faults) = faults {
+        command.env(fault_library::SPECIFICATION, faults).env("LD_PRELOAD", fault_library::path());
+    }
     command.env("GW_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
@@ -468,17 +474,22 @@
 
     /// The same with at most so many descriptors.
     pub fn start_within(config: &Value, descriptors: u32) -> Gateway {
-        Gateway::start_with(config, descriptors, None)
+        Gateway::start_with(config, descriptors, None, None)
+    }
+
+    /// The same with system calls that fail, as `syscall_faults.c` describes it.
+    pub fn start_under(config: &Value, faults: &str) -> Gateway {
+        Gateway::start_with(config, 1_024, None, Some(faults))
     }
 
     /// The same with a folder for what it leaves to the process that takes its place.
     pub fn start_in(config: &Value, folder: &Path) -> Gateway {
-        Gateway::start_with(config, 1_024, Some(folder))
+        Gateway::start_with(config, 1_024, Some(folder), None)
     }
 
-    fn start_with(config: &Value, descriptors: u32, folder: Option<&Path>) -> Gateway {
+    fn start_with(config: &Value, descriptors: u32, folder: Option<&Path>, faults: Option<&str>) -> Gateway {
         let file = file(&config.to_string());
-        let mut child = launch_from(&file, descriptors, folder);
+        let mut child = launch_from(&file, descriptors, folder, faults);
         let log = BufReader::new(child.stderr.take().unwrap());
         let (sender, lines) = channel();
         thread::spawn(move || {
--- /dev/null
+++ b/crates/gateway/tests/loopback/syscall_faults.c
@@ -0,0 +1,111 @@
+// Preloaded into the gateway process alone, by its name: makes system calls fail in ways that Linux documents.
+//
+// SYSCALL_FAULTS holds pairs "key=number" with spaces between them. Percent of the calls that fail: accept (the
+// connection or the network), accept_full (no descriptor, no memory), socket, bind, descriptor (epoll, eventfd,
+// socketpair), connect, wait (EINTR), read (short), write (short), hold (150 ms before a write). for_ms: faults end so
+// long after the start. seed: of the draws. wall_s: what the wall clock is ahead. wall_step_ms: so often the wall clock
+// steps by an hour, forward or back.
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define REAL(name) static __typeof__(name) *real; if (!real) real = dlsym(RTLD_NEXT, #name)
+enum { HOUR_S = 3600, HOLD_MS = 150 };
+
+static int active = -1;
+static unsigned draw_state;
+static long started_ms;
+
+static long number(const char *key, long otherwise) {
+  const char *at = getenv("SYSCALL_FAULTS");
+  size_t length = strlen(key);
+  while (at && *at) {
+    if (!strncmp(at, key, length) && at[length] == '=') return atol(at + length + 1);
+    at = strchr(at, ' ');
+    if (at) at++;
+  }
+  return otherwise;
+}
+
+static int real_clock(clockid_t clock, struct timespec *time) { REAL(clock_gettime); return real(clock, time); }
+
+static long monotonic_ms(void) {
+  struct timespec now;
+  real_clock(CLOCK_MONOTONIC, &now);
+  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static int is_active(void) {
+  if (active < 0) {
+    char name[32] = "";
+    FILE *file = fopen("/proc/self/comm", "r");
+    if (file) { if (!fgets(name, sizeof name, file)) name[0] = 0; fclose(file); }
+    active = getenv("SYSCALL_FAULTS") && !strcmp(name, "grebehook\n");
+    draw_state = (unsigned)number("seed", 1) * 2654435761u;
+    started_ms = monotonic_ms();
+  }
+  return active;
+}
+
+static unsigned draw(void) { draw_state = draw_state * 1103515245u + 12345u; return draw_state >> 16; }
+
+static int fails(const char *kind) {
+  int kept = errno;
+  if (!is_active()) return 0;
+  long percent = number(kind, 0), for_ms = number("for_ms", 0);
+  int over = for_ms && monotonic_ms() - started_ms > for_ms;
+  errno = kept;
+  return percent && !over && (long)(draw() % 100) < percent;
+}
+
+static int fail_with(const int *errors, int count) { errno = errors[draw() % count]; return -1; }
+#define FAIL(...) do { static const int errors[] = {__VA_ARGS__}; return fail_with(errors, sizeof errors / sizeof *errors); } while (0)
+
+static void hold(void) {
+  struct timespec time = {0, HOLD_MS * 1000000L};
+  if (fails("hold")) nanosleep(&time, 0);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) { REAL(accept4);
+  if (fails("accept")) FAIL(ECONNABORTED, EPROTO, ENETUNREACH, EHOSTUNREACH, ENETDOWN, EINTR);
+  if (fails("accept_full")) FAIL(ENFILE, ENOBUFS, EMFILE, ENOMEM);
+  return real(fd, address, length, flags); }
+int socket(int domain, int type, int protocol) { REAL(socket);
+  if (domain != AF_UNIX && fails("socket")) FAIL(ENFILE, ENOBUFS, ENOMEM, EMFILE);
+  return real(domain, type, protocol); }
+int bind(int fd, const struct sockaddr *address, socklen_t length) { REAL(bind);
+  if (address->sa_family != AF_UNIX && fails("bind")) FAIL(EADDRINUSE, EADDRNOTAVAIL, ENOBUFS, ENOMEM);
+  return real(fd, address, length); }
+int connect(int fd, const struct sockaddr *address, socklen_t length) { REAL(connect);
+  if (address->sa_family != AF_UNIX && fails("connect")) FAIL(EADDRNOTAVAIL, ENETUNREACH, ENOBUFS);
+  return real(fd, address, length); }
+int epoll_create1(int flags) { REAL(epoll_create1); if (fails("descriptor")) FAIL(ENFILE, EMFILE, ENOMEM); return real(flags); }
+int eventfd(unsigned value, int flags) { REAL(eventfd); if (fails("descriptor")) FAIL(ENFILE, EMFILE, ENOMEM); return real(value, flags); }
+int socketpair(int domain, int type, int protocol, int pair[2]) { REAL(socketpair);
+  if (fails("descriptor")) FAIL(ENFILE, EMFILE);
+  return real(domain, type, protocol, pair); }
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) { REAL(epoll_wait);
+  if (fails("wait")) FAIL(EINTR);
+  return real(fd, events, most, timeout); }
+ssize_t recv(int fd, void *data, size_t length, int flags) { REAL(recv);
+  if (length > 1 && !(flags & MSG_PEEK) && fails("read")) length = 1 + draw() % (length < 7 ? length : 7);
+  return real(fd, data, length, flags); }
+ssize_t send(int fd, const void *data, size_t length, int flags) { REAL(send);
+  hold();
+  if (length > 1 && fails("write")) length = 1 + length / 3;
+  return real(fd, data, length, flags); }
+int clock_gettime(clockid_t clock, struct timespec *time) {
+  int result = real_clock(clock, time);
+  if (result || clock != CLOCK_REALTIME || !is_active()) return result;
+  long step_ms = number("wall_step_ms", 0);
+  long steps = step_ms ? (monotonic_ms() - started_ms) / step_ms % 3 - 1 : 0;
+  time->tv_sec += number("wall_s", 0) + steps * HOUR_S;
+  return result; }
