Wait for a socket only once the system says that a call would block

Cause: tokio's poll_read and poll_write clear a socket's readiness after a short result. Change: socket.rs, under every reader and writer (clients, servers, discovery, counter, operators, hand-over), waits on WouldBlock alone and repeats interrupted calls. hyper reads on as soon as it has a request, so WireIo lets the request be seen before the client's end is; the end of a client whose long body nobody takes yet is taken from what the system has announced.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,6 +3,7 @@
 use crate::core::Core;
 use crate::members::{ListMessage, Listing};
 use crate::names::Names;
+use crate::socket::Socket;
 use bytes::Bytes;
 use grebehook_core::{ListKind, Settings};
 use grebehook_simulator_adapter::fields::{self, FieldError};
@@ -279,7 +280,8 @@
     async fn connect(&self) -> Result<Sender, WatchError> {
         let stream = TcpStream::connect(self.agent).await.map_err(WatchError::Io)?;
         stream.set_nodelay(true).map_err(WatchError::Io)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(WatchError::Http)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(Socket::new(stream))).await.map_err(WatchError::Http)?;
         tokio::task::spawn_local(connection);
         Ok(sender)
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,6 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -43,6 +44,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often connections are looked over for those that have had their time.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// How often the client of a long body that nobody takes yet is looked after.
+const DEPARTURE_CHECK: Duration = Duration::from_millis(50);
 /// Where the platform asks whether requests can be served.
 const HEALTH: &str = "/_health";
 
@@ -318,8 +321,9 @@
             None => head.uri,
         };
         let (wire, coming) = (client.wire.clone(), body.clone());
-        // While its body comes, hyper reads the connection and finds its end.
-        let client_has_left = Box::new(move || coming.read_out() && wire.has_left());
+        // Once its body goes on, hyper reads the connection and finds its end.
+        let client_has_left =
+            Box::new(move || if coming.read_out() { wire.has_left() } else { wire.end_announced() });
         if client_has_left() {
             return Err(Fault::Departed);
         }
@@ -329,14 +333,18 @@
         client.has_asked.set(true);
         // hyper drops this future when it finds the connection closed.
         let left = Left { core: &self.core, id };
-        if body.coming() {
-            return Ok((answer.await.unwrap_or(Answer::Failed), taken, body));
-        }
+        let departed = async {
+            if body.coming() {
+                departed_before_upload(client, &body).await;
+            } else {
+                client.wire.left().await;
+            }
+        };
         let answer = tokio::select! {
             biased;
             answer = answer => answer.unwrap_or(Answer::Failed),
             // It may have ended its own side alone, and still read.
-            () = client.wire.left() => if left.unsent() { Answer::Refused(0) } else { Answer::Failed },
+            () = departed => if left.unsent() { Answer::Refused(0) } else { Answer::Failed },
         };
         Ok((answer, taken, body))
     }
@@ -354,6 +362,17 @@
     }
 }
 
+/// Waits until the client of a long body ends its side, for as long as no attempt has taken any of the body.
+async fn departed_before_upload(client: &ClientConnection, body: &Upload) {
+    while !body.spent() {
+        if client.wire.end_announced() {
+            return;
+        }
+        sleep(DEPARTURE_CHECK).await;
+    }
+    pending().await
+}
+
 /// Tells the core that a client left, unless its answer was there by then.
 struct Left<'a> {
     core: &'a Rc<Core>,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,6 +2,7 @@
 //! has been written whole.
 
 use crate::body_size::HELD_MOST;
+use crate::socket::Socket;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -112,7 +113,7 @@
 
 /// A connection; all its holders share the one socket, and any may close it.
 pub struct Link {
-    socket: RefCell<Option<(TcpStream, Counter)>>,
+    socket: RefCell<Option<(Socket<TcpStream>, Counter)>>,
     progress: Cell<Progress>,
     /// Counts what is written whole on it, where that is wanted.
     written: RefCell<Option<Rc<Cell<u64>>>>,
@@ -124,7 +125,7 @@
     /// A link over an established connection.
     pub fn new(stream: TcpStream, counter: Counter) -> Rc<Link> {
         Rc::new(Link {
-            socket: RefCell::new(Some((stream, counter))),
+            socket: RefCell::new(Some((Socket::new(stream), counter))),
             progress: Cell::default(),
             written: RefCell::default(),
             requests: Cell::new(0),
@@ -178,7 +179,7 @@
     pub fn quiet(&self) -> bool {
         let socket = self.socket.borrow();
         let Some((stream, _)) = &*socket else { return false };
-        let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+        let peeked = socket2::SockRef::from(stream.get_ref()).peek(&mut [std::mem::MaybeUninit::uninit()]);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -193,7 +194,10 @@
         self.socket.borrow_mut().take();
     }
 
-    fn poll<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    fn poll<T>(
+        &self,
+        act: impl FnOnce(Pin<&mut Socket<TcpStream>>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
         match self.socket.borrow_mut().as_mut() {
             Some((stream, _)) => act(Pin::new(stream)),
             None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -28,6 +28,7 @@
 mod request_table;
 mod request_terms;
 mod response;
+mod socket;
 mod stream;
 mod takeover;
 mod timers;
@@ -58,7 +59,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket, UnixStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -266,7 +267,10 @@
 }
 
 /// A listener for clients: that of the process which serves, with what it knows, where there is one.
-async fn begin(core: &Rc<Core>, at: SocketAddr) -> io::Result<(TcpListener, Option<UnixStream>)> {
+async fn begin(
+    core: &Rc<Core>,
+    at: SocketAddr,
+) -> io::Result<(TcpListener, Option<takeover::ControlConnection>)> {
     let predecessor = match takeover::control_socket_path(at) {
         Some(path) => takeover::take_over(&path).await,
         None => None,
--- a/crates/gateway/src/ops.rs
+++ b/crates/gateway/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::front::Front;
+use crate::socket::Socket;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
@@ -68,7 +69,7 @@
         let connection = http1::Builder::new()
             .keep_alive(false)
             .max_buf_size(BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Socket::new(stream)), service);
         // A call that broke concerns its caller alone. hyper answers what it cannot read.
         let _ = connection.await;
     }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -2,6 +2,8 @@
 //! Unix socket in `$TMPDIR`, go the listener, with all that waits there, and what the decision core knows.
 
 use crate::core::Core;
+use crate::socket::Socket;
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -28,6 +30,9 @@
 /// The one byte that comes with the listener; the length of the state and the state follow.
 const LISTENER: u8 = b'L';
 
+/// A connection between the two processes.
+pub type ControlConnection = Socket<UnixStream>;
+
 /// Where the control socket of this gateway is; nowhere without `$TMPDIR`.
 pub fn control_socket_path(listen: SocketAddr) -> Option<PathBuf> {
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
@@ -41,12 +46,12 @@
     /// What its decision core knows.
     pub state: String,
     /// As long as this is open the old process leaves it all to this one.
-    pub held: UnixStream,
+    pub held: ControlConnection,
 }
 
 /// Asks the process that serves to hand over. `None` if there is none, as after a kill, or it does not answer.
 pub async fn take_over(path: &PathBuf) -> Option<Predecessor> {
-    let mut held = UnixStream::connect(path).await.ok()?;
+    let mut held = Socket::new(UnixStream::connect(path).await.ok()?);
     match timeout(ANSWER_MOST, receive_all(&mut held)).await {
         Ok(Ok((listener, state))) => Some(Predecessor { listener, state, held }),
         Ok(Err(e)) => {
@@ -60,9 +65,10 @@
     }
 }
 
-async fn receive_all(from: &mut UnixStream) -> io::Result<(TcpListener, String)> {
+async fn receive_all(from: &mut ControlConnection) -> io::Result<(TcpListener, String)> {
     let malformed = || io::Error::from(io::ErrorKind::InvalidData);
-    let listener = std::net::TcpListener::from(receive_descriptor(from).await?.ok_or_else(malformed)?);
+    let listener =
+        std::net::TcpListener::from(receive_descriptor(from.get_ref()).await?.ok_or_else(malformed)?);
     listener.set_nonblocking(true)?;
     let length = from.read_u64().await?;
     let mut state = String::new();
@@ -83,11 +89,11 @@
 }
 
 /// The successor, once it calls; never, where it cannot.
-pub async fn successor(control_socket: Option<&UnixListener>) -> UnixStream {
+pub async fn successor(control_socket: Option<&UnixListener>) -> ControlConnection {
     loop {
         match control_socket {
             Some(control_socket) => match control_socket.accept().await {
-                Ok((successor, _)) => return successor,
+                Ok((successor, _)) => return Socket::new(successor),
                 Err(_) => sleep(PAUSE).await,
             },
             None => std::future::pending().await,
@@ -96,7 +102,7 @@
 }
 
 /// Hands over the listener and what the decision core knows, and waits for the end of the successor.
-pub async fn hand_over(to: &mut UnixStream, listener: &TcpListener, core: &Rc<Core>) -> io::Error {
+pub async fn hand_over(to: &mut ControlConnection, listener: &TcpListener, core: &Rc<Core>) -> io::Error {
     match send_all(to, listener, core).await {
         // Nothing comes from there but the end.
         Ok(()) => to.read_u8().await.err().unwrap_or(io::ErrorKind::InvalidData.into()),
@@ -104,8 +110,8 @@
     }
 }
 
-async fn send_all(to: &mut UnixStream, listener: &TcpListener, core: &Rc<Core>) -> io::Result<()> {
-    send_descriptor(to, listener.as_fd()).await?;
+async fn send_all(to: &mut ControlConnection, listener: &TcpListener, core: &Rc<Core>) -> io::Result<()> {
+    send_descriptor(to.get_ref(), listener.as_fd()).await?;
     core.close_idle();
     let state = core.hand_over();
     to.write_u64(state.len() as u64).await?;
@@ -120,7 +126,7 @@
         if !control.push(SendAncillaryMessage::ScmRights(&descriptors)) {
             return Err(io::ErrorKind::InvalidInput.into());
         }
-        sendmsg(to, &[IoSlice::new(&[LISTENER])], &mut control, SendFlags::NOSIGNAL)?;
+        retry_on_intr(|| sendmsg(to, &[IoSlice::new(&[LISTENER])], &mut control, SendFlags::NOSIGNAL))?;
         Ok(())
     })
     .await
@@ -133,7 +139,7 @@
         let mut control = RecvAncillaryBuffer::new(&mut space);
         let mut byte = [0];
         let flags = RecvFlags::CMSG_CLOEXEC;
-        let read = recvmsg(from, &mut [IoSliceMut::new(&mut byte)], &mut control, flags)?;
+        let read = retry_on_intr(|| recvmsg(from, &mut [IoSliceMut::new(&mut byte)], &mut control, flags))?;
         let descriptor = control.drain().find_map(|message| match message {
             RecvAncillaryMessage::ScmRights(mut descriptors) => descriptors.next(),
             _ => None,
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -1,14 +1,15 @@
 //! One client's TCP connection, under hyper: what hyper does not tell of a request's framing and progress.
 
+use crate::socket::Socket;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::{self, Read};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -83,7 +84,7 @@
 }
 
 struct State {
-    stream: Option<TcpStream>,
+    stream: Option<Socket<TcpStream>>,
     scan: Scan,
     ended: bool,
     /// What came while a request was in work, in order.
@@ -100,6 +101,9 @@
     answering: Cell<bool>,
     /// A request is in work, and nothing is read but by who waits for its client to leave.
     working: Cell<bool>,
+    /// What was read last may end a request. hyper reads on at once, and would take the client's end for a reason to
+    /// drop the request: who serves it is to see the request first.
+    may_be_whole: Cell<bool>,
     /// When the client last took something.
     wrote: Cell<Instant>,
     /// When the client was last heard of.
@@ -110,7 +114,7 @@
     /// A wire over an accepted connection.
     pub fn new(stream: TcpStream) -> Rc<Wire> {
         let state = State {
-            stream: Some(stream),
+            stream: Some(Socket::new(stream)),
             scan: Scan::default(),
             ended: false,
             ahead: BytesMut::new(),
@@ -121,6 +125,7 @@
             began: Cell::new(None),
             answering: Cell::new(false),
             working: Cell::new(false),
+            may_be_whole: Cell::new(false),
             wrote: Cell::new(Instant::now()),
             heard: Cell::new(Instant::now()),
         })
@@ -170,7 +175,7 @@
             return true;
         }
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        matches!(socket2::SockRef::from(stream).peek(&mut byte), Ok(n) if n > 0)
+        matches!(socket2::SockRef::from(stream.get_ref()).peek(&mut byte), Ok(n) if n > 0)
     }
 
     /// Whether the client has ended its side or the connection broke, though no event has told of it yet: what the
@@ -183,7 +188,7 @@
                 return true;
             }
             let Some(stream) = &state.stream else { return true };
-            match (&*socket2::SockRef::from(stream)).read(&mut data) {
+            match (&*socket2::SockRef::from(stream.get_ref())).read(&mut data) {
                 Ok(0) => state.ended = true,
                 Ok(read) => self.keep_ahead(&mut state, &data[..read]),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -192,6 +197,16 @@
         }
     }
 
+    /// Whether the client has ended its side behind bytes that nobody has read, as of the runtime's last look at its
+    /// events: the rest of a long body lies before the end, and is not read until an attempt takes it.
+    pub fn end_announced(&self) -> bool {
+        let state = self.state.borrow();
+        let Some(stream) = &state.stream else { return true };
+        let ready = pin!(stream.get_ref().ready(Interest::READABLE));
+        let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Keeps bytes that came while a request is in work, up to a limit.
     fn keep_ahead(&self, state: &mut State, data: &[u8]) {
         state.overrun |= state.ahead.len() + data.len() > AHEAD_MOST;
@@ -264,7 +279,10 @@
         length > 0 || state.ended
     }
 
-    fn poll<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    fn poll<T>(
+        &self,
+        act: impl FnOnce(Pin<&mut Socket<TcpStream>>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
         match self.state.borrow_mut().stream.as_mut() {
             Some(stream) => act(Pin::new(stream)),
             None => Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
@@ -298,6 +316,10 @@
         if self.0.working.get() {
             return Poll::Pending;
         }
+        if self.0.may_be_whole.replace(false) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let read = match self.0.take_ahead(buf) {
             true => Poll::Ready(Ok(())),
             false => self.0.poll(|stream| stream.poll_read(cx, buf)),
@@ -308,6 +330,8 @@
             state.ended |= data.is_empty();
             self.0.heard.set(Instant::now());
             state.scan.read(data);
+            let behind_head = matches!(state.scan.place, Place::Behind(_));
+            self.0.may_be_whole.set(behind_head && !data.is_empty() && buf.remaining() > 0);
             if self.0.began.get().is_none() && state.scan.place != Place::Between {
                 self.0.began.set(Some(Instant::now()));
             }
