Bear failing accepts and starts by what their errors say

Cause: Front::accept took every error for a want of descriptors: it closed a resting client's connection and paused 20 ms, also for a connection that broke before it was accepted. bound() in main.rs waited for a used address alone: a start ended at the first ENFILE or ENOBUFS of socket, bind, epoll, eventfd or socketpair.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,6 +12,7 @@
 use crate::request_terms::{one, TermsReader};
 use crate::response::{plain, reply, Fault, ResponseBody};
 use crate::stream::{self, Answered, Upload};
+use crate::system_error::is_exhaustion;
 use crate::wire::{Framing, WireIo};
 use grebehook_core::RequestId;
 use hyper::body::{Body, Incoming};
@@ -40,8 +41,12 @@
 const UPLOAD_MOST: u64 = 32 << 20;
 /// Bodies up to here need no room of their own: hyper's buffer has held them already.
 const SMALL: u64 = 4 << 10;
-/// The pause after an accept error that may last, such as having no descriptor left.
+/// The pause after an accept error that may last, such as having no descriptor left...
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// ...and after the first, which may have passed in a moment.
+const ACCEPT_FIRST_PAUSE: Duration = Duration::from_millis(1);
+/// Errors of single connections that are passed over one after another before there is a pause.
+const ACCEPT_ERRORS_AT_ONCE: u32 = 32;
 /// How often connections are looked over for those that have had their time.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// How often the client of a long body that nobody takes yet is looked after.
@@ -85,17 +90,17 @@
 
     /// Accepts connections for ever; no error of one ends that.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let mut failed_in_a_row = 0;
         loop {
             match listener.accept().await {
                 // It is taken in before room is made: a request on it may count as taken already.
-                Ok((stream, _)) => self.take(stream),
+                Ok((stream, _)) => {
+                    failed_in_a_row = 0;
+                    self.take(stream);
+                }
                 Err(e) => {
-                    // Out of descriptors or memory: the connection waits in the backlog till there is room.
-                    if let Some(suppressed) = self.accept_errors.admit(Instant::now()) {
-                        warn!(suppressed, "a connection could not be accepted: {e}");
-                    }
-                    self.shed();
-                    sleep(ACCEPT_PAUSE).await;
+                    failed_in_a_row += 1;
+                    self.bear_accept_error(&e, failed_in_a_row).await;
                 }
             }
             while self.clients.borrow().len() > self.most {
@@ -125,6 +130,23 @@
         }
     }
 
+    /// Waits as long as an error of `accept` asks for, of so many in a row. One of a connection or of the network says
+    /// nothing of the connections behind it. Where descriptors or memory are short, the connections wait in the
+    /// backlog, and room is made for them if that lasts.
+    async fn bear_accept_error(&self, error: &io::Error, failed_in_a_row: u32) {
+        let exhausted = is_exhaustion(error);
+        if !exhausted && !failed_in_a_row.is_multiple_of(ACCEPT_ERRORS_AT_ONCE) {
+            return;
+        }
+        if let Some(suppressed) = self.accept_errors.admit(Instant::now()) {
+            warn!(suppressed, "a connection could not be accepted: {error}");
+        }
+        if exhausted && failed_in_a_row > 1 {
+            self.shed();
+        }
+        sleep(if failed_in_a_row > 1 { ACCEPT_PAUSE } else { ACCEPT_FIRST_PAUSE }).await;
+    }
+
     /// Closes one connection without a request in work, if [`eviction`] names one.
     fn shed(&self) {
         let clients = self.clients.borrow();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -23,13 +23,17 @@
 mod ops;
 mod peers;
 mod pool;
+mod reload;
 mod repeat_limiter;
 mod request;
 mod request_table;
 mod request_terms;
 mod response;
+mod shutdown;
 mod socket;
+mod startup;
 mod stream;
+mod system_error;
 mod takeover;
 mod timers;
 mod upstream;
@@ -46,23 +50,21 @@
 use crate::ops::Ops;
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::reload::Reload;
 use crate::request_terms::TermsReader;
-use crate::takeover::Predecessor;
+use crate::shutdown::Shutdown;
 use crate::upstream::Upstream;
 use clap::Parser;
 use grebehook_core::{Gateway, ListKind, Reports};
 use std::error::Error;
-use std::future::Future;
-use std::io::{self, Write};
-use std::net::SocketAddr;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout};
 use tracing::{error, info, warn};
 
 /// Descriptors that are neither clients' nor servers': standard streams, event queues, discovery, the counter,
@@ -72,21 +74,6 @@
 const LARGE_PART: usize = 4;
 /// ...and what is held of clients' bodies.
 const HELD_PART: usize = 8;
-/// How long clients may still come after the signal to stop, and how long after the last of them.
-const STILL_COMING: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(200));
-/// By then the listener closes whoever still comes.
-const LISTEN_MOST: Duration = Duration::from_millis(800);
-/// A gateway told to stop is killed once the longest deadline, counted as so much where it is longer, and so
-/// much more have gone by.
-const KILLED: (Duration, Duration) = (Duration::from_millis(3_000), Duration::from_millis(700));
-/// So long before that every request has its final answer, to leave time to write it; and the process has ended.
-const BEFORE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(50));
-/// What the system holds of an answer that a client has not taken.
-const SEND_BUFFER: u32 = 128 << 10;
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
-/// A restarted gateway may find its address in use for a moment.
-const BIND_FOR: Duration = Duration::from_secs(2);
 
 /// The variable that names the configuration where the command line does not.
 const CONFIG_VARIABLE: &str = "GW_CONFIG";
@@ -104,7 +91,7 @@
         error!("configuration: {CONFIG_VARIABLE} is not set, and there is no --config");
         return ExitCode::from(BAD_CONFIG);
     };
-    match Config::load(&path) {
+    match startup::load(&path) {
         Ok(config) => serve(config, path),
         Err(e) => {
             error!("configuration: {e}");
@@ -130,7 +117,7 @@
 
 /// Serves until a signal ends it. The file is read again at SIGHUP.
 fn serve(config: Config, path: PathBuf) -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match startup::runtime() {
         Ok(runtime) => runtime,
         Err(e) => {
             error!(error = %e, "the runtime cannot be started");
@@ -153,18 +140,6 @@
     }
 }
 
-async fn bound<T, F: Future<Output = io::Result<T>>>(what: &str, bind: impl Fn() -> F) -> io::Result<T> {
-    let start = Instant::now();
-    loop {
-        match bind().await {
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && start.elapsed() < BIND_FOR => {
-                sleep(Duration::from_millis(20)).await;
-            }
-            bound => return bound.map_err(|e| io::Error::new(e.kind(), format!("{what}: {e}"))),
-        }
-    }
-}
-
 async fn run(config: Config, path: PathBuf) -> Result<(), Box<dyn Error>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     // From here on, so that the time is that of the signal however long the start takes.
@@ -175,8 +150,7 @@
         }
         Instant::now()
     });
-    let longest = config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline)).max();
-    let grace = longest.unwrap_or_default().min(KILLED.0) + KILLED.1;
+    let longest_deadline = config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline)).max();
     let hangup = signal(SignalKind::hangup())?;
     let clock = Clock::start();
     let gateway = Gateway::new(config.settings.clone(), config.seed, clock.now())?;
@@ -189,7 +163,7 @@
     let upstream = Upstream::new(pool, large, config.most_units);
     let peers = match config.peer_listen {
         Some(at) => {
-            let socket = bound("peers", || Peers::bind(at, config.peers.clone())).await?;
+            let socket = startup::retry("peers", || Peers::bind(at, config.peers.clone())).await?;
             Some(Rc::new(socket))
         }
         None => None,
@@ -217,7 +191,7 @@
     let (listener, _held) = tokio::select! {
         // Who listens may have been asked already, and sees its clients out like any other.
         biased;
-        listening = begin(&core, config.listen) => listening?,
+        listening = startup::client_listener(&core, config.listen) => listening?,
         // Nobody was taken in yet, and a process that was to hand over goes on.
         _ = &mut stop_signal => return Ok(()),
     };
@@ -229,14 +203,14 @@
             None
         }
     });
-    tokio::task::spawn_local(reread(path, hangup, agent, counter));
+    tokio::task::spawn_local(Reload { path, agent, counter }.run(hangup));
     let held = config.memory / HELD_PART;
     let terms = TermsReader { settings: config.settings, names: config.names, max_units: config.most_units };
     let front = Front::new(core.clone(), terms, clients, held);
     tokio::task::spawn_local(front.clone().look_over());
     info!("{} listens on {}", config.name, listener.local_addr()?);
     if let Some(at) = config.ops {
-        let listener = bound("ops", || TcpListener::bind(at)).await?;
+        let listener = startup::retry("ops", || TcpListener::bind(at)).await?;
         info!("{} answers operators on {}", config.name, listener.local_addr()?);
         tokio::task::spawn_local(Ops::new(front.clone(), core.clone()).run(listener));
     }
@@ -254,97 +228,14 @@
         warn!(error = %lost, "the process that was to follow is gone, this one goes on");
         front.hand_over(false);
     };
-    let stopped = stopped?;
-    core.stop_by(stopped + grace - BEFORE.0);
+    let shutdown = Shutdown::new(stopped?, longest_deadline.unwrap_or_default());
+    core.stop_by(shutdown.answers_by());
     front.stop();
     if !handed_over {
-        accept_late(&front, listener, stopped).await;
+        shutdown.accept_late(&front, listener).await;
     }
     // Otherwise whoever comes is the other process's, at the same listener.
-    see_out(&front, stopped + grace - BEFORE.1).await;
+    shutdown.see_out(&front).await;
     info!("{} stopped", config.name);
     Ok(())
 }
-
-/// A listener for clients: that of the process which serves, with what it knows, where there is one.
-async fn begin(
-    core: &Rc<Core>,
-    at: SocketAddr,
-) -> io::Result<(TcpListener, Option<takeover::ControlConnection>)> {
-    let predecessor = match takeover::control_socket_path(at) {
-        Some(path) => takeover::take_over(&path).await,
-        None => None,
-    };
-    match predecessor {
-        Some(Predecessor { listener, state, held }) => {
-            core.take_over(&state);
-            Ok((listener, Some(held)))
-        }
-        None => Ok((bound("listen", || async { listen(at) }).await?, None)),
-    }
-}
-
-/// A listener for clients. A process that is to replace this one listens beside it, at the same address.
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    // What a slow client has not taken yet stays with its server: its connection can be written to often
-    // enough to see that it goes on, and the system holds little of it.
-    socket.set_send_buffer_size(SEND_BUFFER)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
-/// Reads the configuration again at every SIGHUP, for as long as the gateway lives. Another discovery agent and
-/// another address of the counter are taken up; the rest of the file holds from the next start on.
-async fn reread(
-    path: PathBuf,
-    mut hangup: Signal,
-    agent: watch::Sender<SocketAddr>,
-    counter: Option<Rc<SharedCounter>>,
-) {
-    while hangup.recv().await.is_some() {
-        match Config::load(&path) {
-            Ok(config) => {
-                let describe = |moved| if moved { "moves" } else { "stays" };
-                let agent = agent.send_if_modified(|old| std::mem::replace(old, config.discovery) != *old);
-                let counter = counter.as_ref().zip(config.counter).is_some_and(|(c, at)| c.relocate(at));
-                let (agent, counter) = (describe(agent), describe(counter));
-                info!("configuration read again; discovery {agent}, the counter {counter}");
-            }
-            Err(e) => warn!("configuration: {e}; the old one stays in use"),
-        }
-    }
-}
-
-/// Takes in the clients that still come to a gateway after the signal to stop.
-async fn accept_late(front: &Rc<Front>, listener: TcpListener, stopped: Instant) {
-    loop {
-        let quiet = front.last_accepted() + STILL_COMING.1;
-        let until = (stopped + STILL_COMING.0).max(quiet).min(stopped + LISTEN_MOST);
-        if timeout(until.saturating_duration_since(Instant::now()), front.accept(&listener)).await.is_err()
-            && (front.last_accepted() + STILL_COMING.1 <= Instant::now() || until >= stopped + LISTEN_MOST)
-        {
-            break;
-        }
-    }
-    front.accept_rest(listener);
-}
-
-/// Waits until no client is left, and closes those who have nothing open.
-async fn see_out(front: &Rc<Front>, end: Instant) {
-    // What came last may have its request on the way; give it a moment before idle connections close.
-    let late = async {
-        sleep(STILL_COMING.1).await;
-        loop {
-            front.close_idle();
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    tokio::select! {
-        () = front.emptied() => {}
-        () = late => {}
-        () = sleep_until(end.into()) => warn!("stopped with requests still open"),
-    }
-}
