Close a client's connection for a want of the whole system only if that lasts

Change: five such errors in a row are waited out; at this process's own limit of descriptors room is made as before.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,7 +12,7 @@
 use crate::request_terms::{one, TermsReader};
 use crate::response::{plain, reply, Fault, ResponseBody};
 use crate::stream::{self, Answered, Upload};
-use crate::system_error::is_exhaustion;
+use crate::system_error::{is_descriptor_limit, is_exhaustion};
 use crate::wire::{Framing, WireIo};
 use grebehook_core::RequestId;
 use hyper::body::{Body, Incoming};
@@ -45,6 +45,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// ...and after the first, which may have passed in a moment.
 const ACCEPT_FIRST_PAUSE: Duration = Duration::from_millis(1);
+/// So often in a row a want of the whole system is waited out before a client's connection is closed for it.
+const SYSTEM_ERRORS_BORNE: u32 = 5;
 /// Errors of single connections that are passed over one after another before there is a pause.
 const ACCEPT_ERRORS_AT_ONCE: u32 = 32;
 /// How often connections are looked over for those that have had their time.
@@ -141,7 +143,8 @@
         if let Some(suppressed) = self.accept_errors.admit(Instant::now()) {
             warn!(suppressed, "a connection could not be accepted: {error}");
         }
-        if exhausted && failed_in_a_row > 1 {
+        let patience = if is_descriptor_limit(error) { 1 } else { SYSTEM_ERRORS_BORNE };
+        if exhausted && failed_in_a_row > patience {
             self.shed();
         }
         sleep(if failed_in_a_row > 1 { ACCEPT_PAUSE } else { ACCEPT_FIRST_PAUSE }).await;
--- a/crates/gateway/src/system_error.rs
+++ b/crates/gateway/src/system_error.rs
@@ -9,6 +9,11 @@
     matches!(errno, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
 }
 
+/// Whether this process holds as many descriptors as it may.
+pub fn is_descriptor_limit(error: &io::Error) -> bool {
+    Errno::from_io_error(error) == Some(Errno::MFILE)
+}
+
 /// Whether an address or a port cannot be had just now.
 pub fn is_address_unavailable(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable)
