--- a/crates/gateway/tests/loopback/faults.rs
+++ b/crates/gateway/tests/loopback/faults.rs
@@ -56,6 +56,26 @@
     }
 }
 
+/// Connections that came before the listener closes are taken in though `accept` fails meanwhile.
+#[test]
+fn a_failing_accept_loses_no_client_of_a_gateway_told_to_stop() {
+    for (seed, kind) in [(1, "accept"), (2, "accept"), (3, "accept_full"), (4, "accept_full")] {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let (gateway, _agent) = gateway_under(&format!("{kind}=80 seed={seed}"), &server);
+        gateway.pause();
+        let mut clients: Vec<Client> = (0..40).map(|_| gateway.client()).collect();
+        clients.iter_mut().for_each(|client| client.write(&status()));
+        gateway.terminate();
+        gateway.resume();
+        for client in &mut clients {
+            let answer = client.answer().expect("closed with no answer");
+            // So many at once may be more than one server is sent.
+            assert!(matches!(answer.status(), 200 | 429), "{kind}, seed {seed}: {}", answer.start);
+        }
+        assert!(gateway.wait().success());
+    }
+}
+
 /// Sockets, addresses and descriptors may not be had for some seconds: a start waits for them.
 #[test]
 fn a_start_survives_two_seconds_without_sockets() {
--- a/crates/gateway/tests/loopback/lifecycle.rs
+++ b/crates/gateway/tests/loopback/lifecycle.rs
@@ -143,6 +143,51 @@
     assert!(gateway.wait().success());
 }
 
+/// The file may be half written as the signal comes, and whole a moment later, with no further signal.
+#[test]
+fn a_configuration_completed_after_its_signal_is_taken_up() {
+    let named =
+        |name: &'static str| Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()));
+    let (first, second) = (named("first"), named("second"));
+    let (gateway, _old) = Gateway::before(&[("s-1", &first, "room-a")]);
+    let new = Agent::start(vec![entry("s-2", second.address, "room-a", "ready")]);
+    let whole = config(&new, &[]).to_string();
+    gateway.configure(&whole[..whole.len() / 2]);
+    gateway.logged("the old one stays");
+    gateway.write_configuration(&whole);
+    new.taken_up();
+    assert_eq!(gateway.client().call(&status()).body, b"second");
+}
+
+/// Clients rest on connections that are open until the gateway closes them. Where deadlines are short SIGKILL comes
+/// soon, so that all have to close while what is sent on them last can still be answered.
+#[test]
+fn resting_connections_close_before_the_end_however_short_the_deadlines() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let mut short = config(&agent, &known);
+    for class in 0..3 {
+        short["settings"]["classes"][class]["deadlineUs"] = json!(100_000);
+        short["settings"]["classes"][class]["aimUs"] = json!(100_000);
+    }
+    let mut gateway = Gateway::start(&short);
+    let mut resting: Vec<Client> = (0..10).map(|_| gateway.client()).collect();
+    assert_eq!(gateway.client().call("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+    gateway.terminate();
+    // New connections come for 0.4 s after the signal.
+    let told = Instant::now();
+    while told.elapsed() < Duration::from_millis(400) {
+        resting.push(gateway.client());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for client in &mut resting {
+        assert!(client.answer().is_none());
+    }
+    let log = gateway.log_until_end();
+    assert!(log.iter().all(|line| !line.contains("still open")), "{log:?}");
+}
+
 /// A new process starts beside the old one, which then sees its clients out; somebody takes every request.
 #[test]
 fn a_second_process_takes_the_place_of_the_first() {
--- a/crates/gateway/tests/loopback/rig.rs
+++ b/crates/gateway/tests/loopback/rig.rs
@@ -517,10 +517,15 @@
 
     /// Replaces the file of the configuration, in one step, and tells the gateway.
     pub fn configure(&self, text: &str) {
-        std::fs::rename(file(text), &self.file).unwrap();
+        self.write_configuration(text);
         self.signal("-HUP");
     }
 
+    /// Replaces the file of the configuration without a signal.
+    pub fn write_configuration(&self, text: &str) {
+        std::fs::rename(file(text), &self.file).unwrap();
+    }
+
     /// A gateway before these servers, with its agent.
     pub fn before(servers: &[(&str, &Server, &str)]) -> (Gateway, Agent) {
         let known: Vec<_> = servers.iter().map(|(n, s, zone)| entry(n, s.address, zone, "ready")).collect();
@@ -606,6 +611,12 @@
     pub fn wait(mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
+
+    /// Waits for its end, and tells what it logged until then since it was last asked.
+    pub fn log_until_end(&mut self) -> Vec<String> {
+        assert!(self.child.wait().unwrap().success());
+        self.lines.iter().collect()
+    }
 }
 
 impl Drop for Gateway {
