Close resting connections before SIGKILL may come, however short the deadlines

Cause: the listener stayed open for up to 0.8 s and idle connections for 0.2 s more whatever the deadlines. With deadlines of 0.1 s SIGKILL may come 0.8 s after SIGTERM: the process ended at 0.75 s with connections open on which clients may still send. Change: Shutdown computes until when clients are accepted, and when idle connections close, from the earliest SIGKILL.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -49,12 +49,18 @@
         self.signalled + self.grace - END_MARGIN
     }
 
+    /// When idle connections close at the latest: what is sent on one later could not be answered.
+    fn closes_idle_by(&self) -> Instant {
+        self.answers_by()
+    }
+
     /// Until when clients are accepted, where the last has come at a time. What connected last is left some quiet to
     /// send its request before idle connections close.
     fn accepts_until(&self, last_accepted: Instant) -> Instant {
         let still_connecting = self.signalled + STILL_CONNECTING;
         let quiet = last_accepted + QUIET;
-        still_connecting.max(quiet).min(self.signalled + LISTEN_MOST)
+        let latest = (self.signalled + LISTEN_MOST).min(self.closes_idle_by() - QUIET / 2);
+        still_connecting.max(quiet).min(latest)
     }
 
     /// Takes in the clients that still come, and closes the listener.
@@ -73,8 +79,9 @@
     /// Waits until no client is left, and closes those who have nothing open.
     pub async fn see_out(&self, front: &Rc<Front>) {
         // What came last may have its request on the way; give it a moment before idle connections close.
+        let first_close = (Instant::now() + QUIET).min(self.closes_idle_by());
         let late = async {
-            sleep(QUIET).await;
+            sleep_until(first_close.into()).await;
             loop {
                 front.close_idle();
                 sleep(CLOSE_EVERY).await;
@@ -87,3 +94,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
