Take in the whole listen queue before the listener closes though accept fails

Cause: accept_rest returned at the first error but ECONNABORTED (ENFILE, ENOBUFS, EPROTO, ENETUNREACH) and closed the listener with requests in its queue. Change: such errors are borne as everywhere, until idle connections close.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -116,18 +116,24 @@
     }
 
     /// Takes in what the machine has already accepted for us, and closes the listener: a request on it may count
-    /// as taken. The system is asked, since what the runtime knows is as old as its last look at its events.
-    pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) {
+    /// as taken. The system is asked, since what the runtime knows is as old as its last look at its events. Errors
+    /// that may pass are borne until the time given.
+    pub async fn accept_rest(self: &Rc<Self>, listener: TcpListener, until: Instant) {
         let Ok(listener) = listener.into_std() else { return };
+        let mut failed_in_a_row = 0;
         loop {
             match listener.accept() {
                 Ok((stream, _)) => {
+                    failed_in_a_row = 0;
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
                     stream.into_iter().for_each(|stream| self.take(stream));
                 }
-                // Its client was quicker.
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(_) => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) if Instant::now() >= until => return,
+                Err(e) => {
+                    failed_in_a_row += 1;
+                    self.bear_accept_error(&e, failed_in_a_row).await;
+                }
             }
         }
     }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -73,7 +73,7 @@
                 break;
             }
         }
-        front.accept_rest(listener);
+        front.accept_rest(listener, self.closes_idle_by()).await;
     }
 
     /// Waits until no client is left, and closes those who have nothing open.
