--- a/crates/gateway/tests/loopback/faults.rs
+++ b/crates/gateway/tests/loopback/faults.rs
@@ -1,7 +1,9 @@
 //! System calls that fail in ways that Linux documents: every request still gets its one answer.
 
 use crate::rig::*;
-use std::time::{Duration, Instant};
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Large enough to be passed on as it comes, and to fill a socket's buffer.
 const LONG_ANSWER: usize = 600_000;
@@ -87,3 +89,35 @@
         assert_eq!(gateway.client().call(&status()).status(), 200);
     }
 }
+
+/// A wall clock that is an hour off says nothing of when servers started: the connections to one that started a moment
+/// ago are used again, and those to its process before are not.
+#[test]
+fn connections_outlive_requests_whatever_the_wall_clock_says() {
+    for faults in ["wall_s=0", "wall_s=3600", "wall_s=-3600", "wall_step_ms=100"] {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let started = |ago: Duration| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+            let mut entry = entry("s-1", server.address, "room-a", "ready");
+            entry["since_ms"] = json!((now - ago).as_millis() as u64);
+            entry
+        };
+        let known = [started(Duration::from_secs(60))];
+        let agent = Agent::start(known.to_vec());
+        let mut config = patient_config(&agent, &known);
+        // The cold ramp is not what this is about.
+        config["settings"]["rules"]["coldFrom"] = json!(1.0);
+        let gateway = Gateway::start_under(&config, faults);
+        let mut client = gateway.client();
+        let mut play = || {
+            for _ in 0..10 {
+                assert_eq!(client.call(&status()).status(), 200, "{faults}");
+            }
+            server.connections.load(Ordering::SeqCst)
+        };
+        assert!(play() <= 2, "{faults}: connections were not used again");
+        let before = play();
+        agent.change(vec![started(Duration::ZERO)]);
+        assert!(play() > before, "{faults}: a connection to the process before was used");
+    }
+}
--- a/crates/gateway/tests/loopback/servers.rs
+++ b/crates/gateway/tests/loopback/servers.rs
@@ -442,3 +442,23 @@
     server.request();
     assert!(server.unread().is_empty(), "a request beyond the quota was sent on");
 }
+
+/// The time that a server is told is what its client has left as the request is written, not before its connection
+/// has rested.
+#[test]
+fn a_server_is_told_no_more_time_than_the_client_has_left() {
+    let server = Server::start(|_| ok());
+    let (gateway, _agent) = Gateway::before(&[("s-1", &server, "room-a")]);
+    let mut client = gateway.client();
+    let mut least_told = u64::MAX;
+    for _ in 0..20 {
+        assert_eq!(client.call(&status()).status(), 200);
+        seen(&server);
+        // The connection of the answer before rests for 20 ms.
+        client.call(&status().replace("X-Budget-Ms: 1900", "X-Budget-Ms: 100"));
+        let told: u64 = seen(&server).header("x-budget-ms").parse().unwrap();
+        assert!(told <= 100);
+        least_told = least_told.min(told);
+    }
+    assert!(least_told <= 85, "at least {least_told} ms of 100 were told after a rest");
+}
