Take servers' starts by what they show of the wall clock, not by the clock alone

Cause: Server::ramp compares a start that discovery tells by the fleet's clock to this machine's wall clock as it stood when the process began. An hour ahead, a server that had just started looked warm (86 requests in 3 s against 3); an hour behind, it stayed at a hundredth of its capacity for an hour. A start in the future, and a new one older than news can be, correct the difference; the newest start then counts as just now. All starts are brought in line with a correction. Measured: the core test failed before and passes with clocks a minute and an hour off, both ways.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::request::Request;
 use crate::server_index::ServerIndex;
 use crate::servers::{avoided, Patience};
+use crate::start_times::StartTimes;
 use std::collections::BTreeMap;
 
 /// Where a decision appends what is to be done.
@@ -21,6 +22,7 @@
     pub(crate) launched: Micros,
     pub(crate) life: u32,
     pub(crate) servers: ServerIndex,
+    pub(crate) start_times: StartTimes,
     pub(crate) customers: CustomerTable,
     pub(crate) visited: u64,
     pub(crate) probed: Micros,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -94,6 +94,7 @@
 mod selection;
 mod server_index;
 mod servers;
+mod start_times;
 mod text_record;
 
 #[cfg(test)]
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -14,6 +14,9 @@
         if kind == ListKind::Failed {
             return out.push(Action::Watch);
         }
+        if self.start_times.observe(now, kind, &entries) {
+            self.correct_starts(now);
+        }
         // Servers that a complete list does not name are gone.
         let gone = if kind == ListKind::Delta { Vec::new() } else { self.servers.unlisted(&entries) };
         for id in gone {
@@ -26,18 +29,31 @@
             let id = entry.server;
             let known = self.servers.get(id);
             let open = known.map_or(0, |x| x.open);
-            if known.is_some_and(|x| x.entry.ready_at == entry.ready_at) {
+            let told_start = entry.ready_at;
+            let entry = Entry { ready_at: self.start_times.local(told_start), ..entry };
+            if known.is_some_and(|x| x.told_start == told_start) {
                 self.servers.update(now, id, |x| x.entry = entry);
                 continue;
             }
             // Gateways start at odds here too: together they send a cold server what their subsets add up to.
             let (cold_budget, turn) = (self.random_source.next_fraction(), self.turn);
-            let fresh = Server { entry, open, item_us, ok: 1.0, cold_budget, turn, ..Server::default() };
+            let fresh =
+                Server { entry, told_start, open, item_us, ok: 1.0, cold_budget, turn, ..Server::default() };
             self.servers.insert(now, Server { judged: now, ..fresh });
         }
         self.servers.remove_vacated();
     }
 
+    /// Brings the starts of all servers in line with what is now known of this process's clock.
+    fn correct_starts(&mut self, now: Micros) {
+        let servers: Vec<ServerId> = self.servers.iter().map(|x| x.entry.server).collect();
+        for id in servers {
+            let start_times = &self.start_times;
+            self.servers.update(now, id, |x| x.entry.ready_at = start_times.local(x.told_start));
+        }
+    }
+
+    /// Takes the load that a server reports.
     pub(crate) fn report(&mut self, now: Micros, server: ServerId, load: Option<Load>) {
         let Some(load) = load else { return };
         let gateways = self.settings.gateways as f64;
--- a/crates/core/src/server_index.rs
+++ b/crates/core/src/server_index.rs
@@ -24,7 +24,10 @@
 /// A server as this gateway sees it.
 #[derive(Default)]
 pub(crate) struct Server {
+    /// As it is listed; its start by this process's clock.
     pub entry: Entry,
+    /// Its start by the fleet's clock, as it was told.
+    pub told_start: Micros,
     /// Attempts out there from here.
     pub open: u32,
     /// Time per request held, µs.
