Name the process that a connection leads to by its start, not by the time it opened

Cause: Pool compared the time of opening, by this machine's wall clock, to the start that discovery tells. Ahead, connections to a process before a restart were used again; behind, none was ever used twice. Change: a connection keeps the start that its server had as it was opened; the pool needs no clock.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -159,7 +159,7 @@
     // and an idle one can always be shed.
     let clients = room / 2;
     let (large, connect) = (config.memory / LARGE_PART, config.connect_timeout);
-    let pool = Pool::new(clock, room - clients, connect, config.server_idle);
+    let pool = Pool::new(room - clients, connect, config.server_idle);
     let upstream = Upstream::new(pool, large, config.most_units);
     let peers = match config.peer_listen {
         Some(at) => {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,5 @@
 //! The servers of the list and the idle connections to them.
 
-use crate::clock::Clock;
 use crate::link::{Counter, Link, LinkIo};
 use crate::members::Member;
 use crate::stream::Sending;
@@ -34,14 +33,16 @@
     /// Its socket.
     pub link: Rc<Link>,
     address: SocketAddr,
-    opened: Micros,
+    /// The start, as it was told, of the process that it was opened to.
+    server_start: Micros,
     idle_since: Instant,
 }
 
 struct Server {
     address: SocketAddr,
     state: State,
-    started: Micros,
+    /// Its start as it was told: a name for its process. It is not compared to any clock.
+    start: Micros,
     idle: Vec<Connection>,
 }
 
@@ -60,19 +61,17 @@
     max_open: usize,
     connect_timeout: Duration,
     idle_most: Duration,
-    clock: Clock,
 }
 
 impl Pool {
     /// No servers yet; `max_open` connections at once. Servers close those that stood idle for `server_idle`.
-    pub fn new(clock: Clock, max_open: usize, connect_timeout: Duration, server_idle: Duration) -> Pool {
+    pub fn new(max_open: usize, connect_timeout: Duration, server_idle: Duration) -> Pool {
         Pool {
             servers: RefCell::default(),
             open: Rc::default(),
             max_open,
             connect_timeout,
             idle_most: server_idle.mul_f64(IDLE_PART),
-            clock,
         }
     }
 
@@ -87,20 +86,16 @@
                 servers.remove(&entry.server);
                 continue;
             }
-            let fresh = || Server {
-                address: *address,
-                state: entry.state,
-                started: entry.ready_at,
-                idle: Vec::new(),
-            };
+            let fresh =
+                || Server { address: *address, state: entry.state, start: entry.ready_at, idle: Vec::new() };
             let server = servers.entry(entry.server).or_insert_with(fresh);
             if server.address != *address {
                 server.address = *address;
                 server.idle.clear();
             }
-            (server.state, server.started) = (entry.state, entry.ready_at);
+            (server.state, server.start) = (entry.state, entry.ready_at);
             // A machine that vanished never closed its connections; one that has started since lost them.
-            server.idle.retain(|c| c.opened >= entry.ready_at && entry.state == State::Ready);
+            server.idle.retain(|c| c.server_start == entry.ready_at && entry.state == State::Ready);
         }
     }
 
@@ -144,7 +139,7 @@
     /// Takes a connection back over which nothing was sent: for its server it is idle since its last answer.
     pub fn restore(&self, server: ServerId, connection: Connection) {
         if let Some(server) = self.servers.borrow_mut().get_mut(&server) {
-            let current = server.address == connection.address && connection.opened >= server.started;
+            let current = server.address == connection.address && connection.server_start == server.start;
             if current && server.state == State::Ready && !connection.sender.is_closed() {
                 server.idle.push(connection);
             }
@@ -160,9 +155,9 @@
 
     /// A new connection, or why there is none: what the gateway itself lacks says nothing of the server.
     pub async fn connect(&self, server: ServerId) -> Result<Connection, Status> {
-        let address =
-            self.servers.borrow().get(&server).filter(|s| s.state == State::Ready).map(|s| s.address);
-        let address = address.ok_or(Status::ConnectFailed)?;
+        let ready = |s: &&Server| s.state == State::Ready;
+        let listed = self.servers.borrow().get(&server).filter(ready).map(|s| (s.address, s.start));
+        let (address, server_start) = listed.ok_or(Status::ConnectFailed)?;
         if self.open.get() >= self.max_open && !self.shed() {
             return Err(Status::Moot);
         }
@@ -186,8 +181,7 @@
             .await
             .map_err(|_| Status::ConnectFailed)?;
         tokio::task::spawn_local(connection);
-        let opened = self.clock.now();
-        Ok(Connection { sender, link, address, opened, idle_since: Instant::now() })
+        Ok(Connection { sender, link, address, server_start, idle_since: Instant::now() })
     }
 }
 
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -1,5 +1,4 @@
 use super::{Outgoing, Pool, Slot, Upload, Upstream};
-use crate::clock::Clock;
 use crate::members::Member;
 use grebehook_core::{Entry, ServerId, State, Status};
 use std::time::{Duration, Instant};
@@ -9,7 +8,7 @@
 fn the_gateways_own_want_of_room_is_not_the_servers_fault() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let second = Duration::from_secs(1);
-    let pool = Pool::new(Clock::start(), 0, second, second);
+    let pool = Pool::new(0, second, second);
     let upstream = std::rc::Rc::new(Upstream::new(pool, 0, 1.0));
     let entry = Entry { server: ServerId(1), state: State::Ready, ..Entry::default() };
     upstream.pool.update(true, &[Member { address: ([127, 0, 0, 1], 1).into(), entry }]);
