Tell a server the time that is left as its request is written

A repeat could also leave a rested connection past its window. Change: an attempt carries its times as instants (AttemptTimes); the time told is what is left at the write, and send_by is held after the rest too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Method, Response, Uri};
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// A client's request as it goes on to servers.
 pub struct Outgoing {
@@ -21,6 +22,15 @@
     pub client_has_left: Box<dyn Fn() -> bool>,
 }
 
+/// The times that an attempt has to keep.
+#[derive(Clone, Copy)]
+pub struct AttemptTimes {
+    /// Its first byte goes out by then, or none does.
+    pub send_by: Instant,
+    /// It is given up then: its server is told what is left until that time as the request is written.
+    pub answer_by: Instant,
+}
+
 /// How an attempt ended.
 pub struct Reply {
     /// By the protocol's table.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module, the clock, the timers and the table of requests: events in, actions out.
 //! Nothing is decided here.
 
-use crate::attempt::{Outgoing, Reply, Slot};
+use crate::attempt::{AttemptTimes, Outgoing, Reply, Slot};
 use crate::clock::Clock;
 use crate::core_log::CoreLog;
 use crate::counter::SharedCounter;
@@ -285,13 +285,13 @@
         let until = held.deadline(now, timeout);
         let slot = Rc::new(Slot::default());
         let (core, outgoing, link) = (self.clone(), held.outgoing.clone(), slot.clone());
-        let budget = Duration::from_micros(until - now);
-        let send_by = self.clock.instant(held.send_by(until));
+        let times = AttemptTimes {
+            send_by: self.clock.instant(held.send_by(until)),
+            answer_by: self.clock.instant(until),
+        };
         let task = tokio::task::spawn_local(async move {
-            let reply = core
-                .upstream
-                .exchange(server, &link, &outgoing, budget, send_by, Some(&core.counts.tries))
-                .await;
+            let reply =
+                core.upstream.exchange(server, &link, &outgoing, times, Some(&core.counts.tries)).await;
             core.ended(id, attempt, reply);
         });
         held.running = Some(Running { attempt, server, sent: now, slot, task: task.abort_handle() });
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Attempts at servers: one exchange for each, and how it ended.
 
-use crate::attempt::{Outgoing, Reply, Slot};
+use crate::attempt::{AttemptTimes, Outgoing, Reply, Slot};
 use crate::body_size::{HELD_MOST, PASSING};
 use crate::headers;
 use crate::pool::{Connection, Pool};
@@ -40,36 +40,38 @@
         Upstream { pool, room: Arc::new(Semaphore::new(room)), most_units }
     }
 
-    /// Sends a request once, not later than told, and tells how that ended. `tries` counts it once it is
-    /// written whole.
+    /// Sends a request once, within the times given, and tells how that ended. `tries` counts it once it is written
+    /// whole.
     pub async fn exchange(
         self: &Rc<Self>,
         server: ServerId,
         slot: &Slot,
         out: &Outgoing,
-        budget: Duration,
-        send_by: Instant,
+        times: AttemptTimes,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Reply {
-        let started = Instant::now();
         while let Some(connection) = self.pool.idle(server) {
             // Whatever a server sends behind an answer has come by then, and ended the connection.
             if let Some(rest) = connection.rest_left() {
                 sleep(rest).await;
             }
+            if Instant::now() >= times.send_by {
+                self.pool.restore(server, connection);
+                return Reply::bare(Status::Moot);
+            }
             if (out.client_has_left)() {
                 self.pool.restore(server, connection);
                 return Reply::bare(Status::Moot);
             }
             // Nothing was written to a connection that hyper found closed, so nothing has been sent yet.
-            if let Ok(reply) = self.over(server, connection, slot, out, budget, tries).await {
+            if let Ok(reply) = self.over(server, connection, slot, out, times.answer_by, tries).await {
                 return reply;
             }
         }
         if (out.client_has_left)() {
             return Reply::bare(Status::Moot);
         }
-        let connection = match timeout_at(send_by.into(), self.pool.connect(server)).await {
+        let connection = match timeout_at(times.send_by.into(), self.pool.connect(server)).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(status)) => return Reply::bare(status),
             Err(_) => return Reply::bare(Status::Moot),
@@ -78,8 +80,7 @@
             self.pool.restore(server, connection);
             return Reply::bare(Status::Moot);
         }
-        let budget = budget.saturating_sub(started.elapsed());
-        let reply = self.over(server, connection, slot, out, budget, tries).await;
+        let reply = self.over(server, connection, slot, out, times.answer_by, tries).await;
         reply.unwrap_or_else(|Unwritten| Reply::bare(Status::ConnectFailed))
     }
 
@@ -89,14 +90,15 @@
         mut connection: Connection,
         slot: &Slot,
         out: &Outgoing,
-        budget: Duration,
+        answer_by: Instant,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Result<Reply, Unwritten> {
         let mut request = Request::new(Sending::new(&out.body, connection.link.clone()));
         *request.method_mut() = out.method.clone();
         *request.uri_mut() = out.uri.clone();
         *request.headers_mut() = out.headers.clone();
-        request.headers_mut().insert(headers::BUDGET, HeaderValue::from(budget.as_millis() as u64));
+        let left = answer_by.saturating_duration_since(Instant::now());
+        request.headers_mut().insert(headers::BUDGET, HeaderValue::from(left.as_millis() as u64));
         slot.set(Some(connection.link.clone()));
         connection.link.begin(out.body.length());
         connection.link.count(tries);
@@ -184,9 +186,9 @@
             client_has_left: Box::new(|| false),
         };
         let slot = Slot::default();
-        let Ok(reply) =
-            timeout(limit, self.exchange(server, &slot, &probe, limit, Instant::now() + limit, None)).await
-        else {
+        let end = Instant::now() + limit;
+        let times = AttemptTimes { send_by: end, answer_by: end };
+        let Ok(reply) = timeout(limit, self.exchange(server, &slot, &probe, times, None)).await else {
             slot.close();
             return (Status::Timeout, None);
         };
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -1,4 +1,4 @@
-use super::{Outgoing, Pool, Slot, Upload, Upstream};
+use super::{AttemptTimes, Outgoing, Pool, Slot, Upload, Upstream};
 use crate::members::Member;
 use grebehook_core::{Entry, ServerId, State, Status};
 use std::time::{Duration, Instant};
@@ -20,6 +20,8 @@
         client_has_left: Box::new(|| false),
     };
     let slot = Slot::default();
-    let sent = upstream.exchange(ServerId(1), &slot, &out, second, Instant::now() + second, None);
+    let end = Instant::now() + second;
+    let times = AttemptTimes { send_by: end, answer_by: end };
+    let sent = upstream.exchange(ServerId(1), &slot, &out, times, None);
     assert_eq!(runtime.block_on(sent).status, Status::Moot);
 }
