Keep clients that are writing a request from being closed for a want of descriptors

Change: those that never brought a byte go first, then idle ones; a client in the middle of a request goes only where newcomers are a crowd.

--- a/crates/gateway/src/eviction.rs
+++ b/crates/gateway/src/eviction.rs
@@ -20,16 +20,19 @@
     pub key: u64,
     /// It has brought a request before.
     pub has_asked: bool,
+    /// Part of a request has come.
+    pub has_begun: bool,
     /// When bytes last came on it, or it was accepted.
     pub last_heard: Instant,
     /// Since when it has had no request in work.
     pub idle_since: Instant,
 }
 
-/// The connection to close: of those that never brought a request the one silent for the longest time, since a slow
-/// client that means to send one goes on writing; or else the one that has been idle longest. One on which bytes
-/// wait to be read is kept; `has_unread` is asked, at the cost of a system call, only about the connection to be
-/// closed next.
+/// The connection to close: of those that never brought a byte the one silent for the longest time; or else, unless a
+/// crowd of newcomers is there, the one that has been idle longest. A client in the middle of a request is closed only
+/// while there is such a crowd, and only a newcomer: the one silent for the longest time, since a slow client that means
+/// to send a request goes on writing. One on which bytes wait to be read is kept; `has_unread` is asked, at the cost of a
+/// system call, only about the connection to be closed next.
 pub fn select(
     candidates: &[Candidate],
     now: Instant,
@@ -38,16 +41,19 @@
 ) -> Option<u64> {
     let fresh = candidates.iter().filter(|c| !c.has_asked);
     let silent = fresh.clone().filter(|c| now.saturating_duration_since(c.last_heard) > SETTLE_TIME);
-    let silent = silent.map(|c| Reverse((c.last_heard, c.key)));
-    if let Some(key) = first_without_input(silent.collect(), &mut has_unread) {
+    let by_silence = |c: &Candidate| Reverse((c.last_heard, c.key));
+    let never_heard = silent.clone().filter(|c| !c.has_begun).map(by_silence);
+    if let Some(key) = first_without_input(never_heard.collect(), &mut has_unread) {
         return Some(key);
     }
-    if fresh.count() * FRESH_PART >= limit {
-        return None;
-    }
-    let returning = candidates.iter().filter(|c| c.has_asked);
-    let returning = returning.map(|c| Reverse((c.idle_since, c.key)));
-    first_without_input(returning.collect(), &mut has_unread)
+    let is_crowded = fresh.count() * FRESH_PART >= limit;
+    let remaining = if is_crowded {
+        silent.filter(|c| c.has_begun).map(by_silence).collect()
+    } else {
+        let returning = candidates.iter().filter(|c| c.has_asked && !c.has_begun);
+        returning.map(|c| Reverse((c.idle_since, c.key))).collect()
+    };
+    first_without_input(remaining, &mut has_unread)
 }
 
 /// The oldest connection on which nothing waits to be read.
--- a/crates/gateway/src/eviction/tests.rs
+++ b/crates/gateway/src/eviction/tests.rs
@@ -4,7 +4,7 @@
 const LIMIT: usize = 300;
 
 fn candidate(key: u64, has_asked: bool, at: Instant) -> Candidate {
-    Candidate { key, has_asked, last_heard: at, idle_since: at }
+    Candidate { key, has_asked, has_begun: false, last_heard: at, idle_since: at }
 }
 
 /// Connections whose age falls with their key: the first is the oldest.
@@ -53,3 +53,16 @@
     assert_eq!(select(&candidates, now, LIMIT, |_| false), Some(0));
     assert_eq!(select(&[], now, LIMIT, |_| false), None);
 }
+
+/// Its client would never learn what became of it.
+#[test]
+fn a_client_in_the_middle_of_a_request_goes_only_where_newcomers_are_a_crowd() {
+    let start = Instant::now();
+    let now = start + SETTLE_TIME * 2;
+    let writing = |key, has_asked| Candidate { has_begun: true, ..candidate(key, has_asked, start) };
+    let idle = candidate(3, true, now);
+    assert_eq!(select(&[writing(1, false), writing(2, true), idle], now, LIMIT, |_| false), Some(3));
+    assert_eq!(select(&[writing(1, false), writing(2, true)], now, LIMIT, |_| false), None);
+    let crowd: Vec<Candidate> = (0..LIMIT as u64).map(|key| writing(key, false)).collect();
+    assert_eq!(select(&crowd, now, LIMIT, |_| false), Some(0));
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -164,6 +164,7 @@
             .map(|(key, client)| Candidate {
                 key: *key,
                 has_asked: client.has_asked.get(),
+                has_begun: client.wire.began().is_some(),
                 last_heard: client.wire.heard(),
                 idle_since: client.idle_since.get(),
             })
