--- a/crates/gateway/tests/loopback/rig.rs
+++ b/crates/gateway/tests/loopback/rig.rs
@@ -496,6 +496,11 @@
         Gateway::start_with(config, 1_024, Some(folder), None)
     }
 
+    /// The same with system calls that fail, as `syscall_faults.c` describes it.
+    pub fn start_in_under(config: &Value, folder: &Path, faults: &str) -> Gateway {
+        Gateway::start_with(config, 1_024, Some(folder), Some(faults))
+    }
+
     fn start_with(config: &Value, descriptors: u32, folder: Option<&Path>, faults: Option<&str>) -> Gateway {
         let file = file(&config.to_string());
         let mut child = launch_from(&file, descriptors, folder, faults);
--- a/crates/gateway/tests/loopback/takeover.rs
+++ b/crates/gateway/tests/loopback/takeover.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::os::unix::net::UnixListener;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 /// A gateway before one server, and the configuration of the process that follows it at the same address.
 fn first(server: &Server, folder: &Path) -> (Gateway, Agent, Value) {
@@ -84,6 +85,36 @@
     assert_eq!(new.client().call(&status()).status(), 429, "the store is full again");
 }
 
+/// What is left of a quota, and how fast it fills again, do not depend on a wall clock that was stepped between the
+/// starts of the two processes.
+#[test]
+fn a_quota_outlives_a_step_of_the_wall_clock() {
+    for (rate, faults) in [(0.001, "wall_s=3600"), (4.0, "wall_s=-3600")] {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let folder = folder();
+        let known = [entry("s-1", server.address, "room-a", "ready")];
+        let agent = Agent::start(known.to_vec());
+        let mut config = config(&agent, &known);
+        config["settings"]["plans"][0]["rate"] = json!(rate);
+        config["settings"]["plans"][0]["depth"] = json!(4.0);
+        let old = Gateway::start_in(&config, &folder);
+        config["listen"] = json!(old.address.to_string());
+        let mut client = old.client();
+        while client.call(&status()).status() == 200 {}
+        let new = Gateway::start_in_under(&config, &folder, faults);
+        let mut client = new.client();
+        assert_eq!(client.call(&status()).status(), 429, "{faults}: the store is full again");
+        if rate > 1.0 {
+            let refilled = Instant::now() + Duration::from_secs(10);
+            while client.call(&status()).status() == 429 {
+                assert!(Instant::now() < refilled, "{faults}: the store does not fill");
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
+
 /// A signal to stop that comes while the old process is asked for its place ends the start: nobody is taken in by a
 /// process whose time is running.
 #[test]
