Bring the times of a hand-over to the clock of the process that takes over

Cause: times in the text are those of the old process's clock, which counts from the wall clock as it stood at its start. After a step of an hour forward a store was full again; after one back it did not fill for an hour, and verdicts held as long. Change: the text names when it was written, and ClockShift shifts its times (version grebehook-2 in place of the old house's word; a process of another version starts anew, as before).

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -8,8 +8,9 @@
 use std::fmt::Write;
 use std::str::SplitAsciiWhitespace;
 
-/// The version of the text, its first word.
-const VERSION: &str = "frostgauge-1";
+/// The version of the text, its first line. The second is the time at which it was written, by the clock of the process
+/// that wrote it, to which all times in it refer.
+const VERSION: &str = "grebehook-2";
 
 /// Why a text was not taken up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,11 +34,28 @@
     plan, spread, first, bucket_level, local_allowance, filled, mine.value, mine.at, demand, demand_at, delay_ms,
     interval_at, arrived, next_leave, slice, uncounted, unsure, counted, overflow);
 
+/// From the clock of the process that wrote a text to that of the one which reads it: each counts from the wall clock as
+/// it stood when the process began, and that may have been stepped between the two.
+#[derive(Clone, Copy)]
+struct ClockShift {
+    from: Micros,
+    to: Micros,
+}
+
+impl ClockShift {
+    /// Brings times to the reader's clock; 0 stays what it is, long past.
+    fn apply<const COUNT: usize>(self, times: [&mut Micros; COUNT]) {
+        for time in times.into_iter().filter(|time| **time > 0) {
+            *time = (self.to + *time).saturating_sub(self.from);
+        }
+    }
+}
+
 impl Gateway {
     /// What the next process has to know. What was not counted yet is its to count; this one keeps what its
     /// open requests still settle for.
-    pub fn hand_over(&mut self) -> String {
-        let mut text = format!("{VERSION}\ngateway {}\n", write_gateway(self));
+    pub fn hand_over(&mut self, now: Micros) -> String {
+        let mut text = format!("{VERSION}\nclock {now}\ngateway {}\n", write_gateway(self));
         // Writing to a string cannot fail.
         for x in self.servers.iter() {
             let _ = writeln!(text, "server {} {}", x.entry.server.0, write_server(x));
@@ -61,6 +79,8 @@
         if lines.next().is_none_or(|(version, _)| version != VERSION) {
             return Err(HandoverError { line: 1 });
         }
+        let written = lines.next().and_then(|(text, _)| text.strip_prefix("clock ")?.parse().ok());
+        let shift = ClockShift { from: written.ok_or(HandoverError { line: 2 })?, to: now };
         let (mut gateways, mut servers, mut customers) = (Vec::new(), Vec::new(), Vec::new());
         for (text, line) in lines {
             let mut words = text.split_ascii_whitespace();
@@ -74,12 +94,14 @@
             };
             read.ok_or(HandoverError { line })?;
         }
-        for g in gateways {
+        for mut g in gateways {
+            shift.apply([&mut g.metered, &mut g.sends.at, &mut g.flow.at]);
             (self.latency_estimate, self.call_share, self.metered) =
                 (g.latency_estimate, g.call_share, g.metered);
             (self.sends, self.flow) = (g.sends, g.flow);
         }
-        for (id, seen) in servers {
+        for (id, mut seen) in servers {
+            shift.apply([&mut seen.judged, &mut seen.ejected]);
             self.servers.update(now, id, |x| {
                 (x.ok, x.judged, x.ejected, x.ejections) =
                     (seen.ok, seen.judged, seen.ejected, seen.ejections);
@@ -88,7 +110,14 @@
                 (x.others, x.reported) = (f64::from(seen.open), now);
             });
         }
-        for (id, customer) in customers {
+        for (id, mut customer) in customers {
+            shift.apply([
+                &mut customer.filled,
+                &mut customer.mine.at,
+                &mut customer.demand_at,
+                &mut customer.interval_at,
+                &mut customer.next_leave,
+            ]);
             self.changed.insert(id);
             self.customers.insert(id, customer);
         }
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -17,7 +17,7 @@
     (0..10).for_each(|k| drop(old.play(100 + k, dead)));
     // A plan's burst is four.
     (0..4).for_each(|_| drop(old.play(5, |_| Status::Ok)));
-    let text = old.gateway.hand_over();
+    let text = old.gateway.hand_over(S);
     let mut new = fresh(&servers);
     assert!(
         sent(&fresh(&servers).request(0, 5, 2 * S).1).is_some(),
@@ -34,16 +34,17 @@
 fn what_cannot_be_read_changes_nothing() {
     let mut old = fresh(&[entry(1, 0)]);
     (0..4).for_each(|_| drop(old.play(5, |_| Status::Ok)));
-    let text = old.gateway.hand_over();
+    let text = old.gateway.hand_over(S);
     let line = text.lines().count();
     let bad = [
         (String::new(), 1),
-        (text.replacen("-1", "-0", 1), 1),
+        (text.replacen("-2", "-1", 1), 1),
         (text.replacen("customer 5 0 ", "customer 5 7 ", 1), line),
         (text.replacen("customer 5 0 ", "customer 5 0 0 ", 1), line),
         (text.replacen("customer", "client", 1), line),
         (text.trim_end().rsplit_once(' ').expect("words").0.to_owned(), line),
-        (text.replacen("server 1 1 ", "server 1 NaN ", 1), 3),
+        (text.replacen("server 1 1 ", "server 1 NaN ", 1), 4),
+        (text.replacen("clock ", "clock -", 1), 2),
     ];
     for (text, line) in bad {
         let mut new = fresh(&[entry(1, 0)]);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -115,7 +115,7 @@
 
     /// What the module knows, for the process that follows.
     pub fn hand_over(&self) -> String {
-        self.inner.borrow_mut().gateway.hand_over()
+        self.inner.borrow_mut().gateway.hand_over(self.clock.now())
     }
 
     /// Tells the module what the process before has handed over.
