--- a/crates/gateway/tests/loopback/faults.rs
+++ b/crates/gateway/tests/loopback/faults.rs
@@ -81,8 +81,8 @@
 /// What the gateway's own machine lacks for a moment is no reason to refuse a request.
 #[test]
 fn a_failing_socket_or_connect_costs_no_request() {
-    for faults in ["connect=10", "socket=10"] {
-        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    for faults in ["connect=60", "socket=60"] {
+        let server = Server::start(|_| Does::Answers("200 OK\r\nConnection: close", b"done".to_vec()));
         let (gateway, _agent) = gateway_under(faults, &server);
         let mut client = gateway.client();
         for n in 0..60 {
