--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,6 +4,7 @@
 use crate::members::{ListMessage, Listing};
 use crate::names::Names;
 use crate::socket::Socket;
+use crate::system_error::is_local;
 use bytes::Bytes;
 use grebehook_core::{ListKind, Settings};
 use grebehook_simulator_adapter::fields::{self, FieldError};
@@ -147,6 +148,8 @@
         match e {
             WatchError::Silent => Duration::ZERO,
             WatchError::Status(500..) => self.draw(),
+            // The call never left this machine.
+            WatchError::Io(e) if is_local(e) => AGAIN,
             _ if asked => self.draw(),
             _ => AGAIN,
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::link::{Counter, Link, LinkIo};
 use crate::members::Member;
 use crate::stream::Sending;
+use crate::system_error::is_local;
 use grebehook_core::{Micros, ServerId, State, Status};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -13,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Part of the servers' idle limit after which a connection is retired: one that a server closes just as a
 /// request is written to it would end that request as a reset.
@@ -23,6 +24,9 @@
 const REST: Duration = Duration::from_millis(20);
 /// What the system holds of an answer that has not been passed on.
 const RECEIVE_BUFFER: u32 = 128 << 10;
+/// So often a connection is tried that fails for what this machine lacks, with a pause between.
+const DIAL_TRIES: usize = 5;
+const DIAL_PAUSE: Duration = Duration::from_millis(1);
 /// hyper's read buffer for one connection, at most.
 const BUFFER_MOST: usize = 32 << 10;
 
@@ -185,8 +189,19 @@
     }
 }
 
-/// Opens a connection of which the system holds little that has not been passed on.
+/// Opens a connection, once more where this machine lacked something for a moment.
 async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
+    for _ in 1..DIAL_TRIES {
+        match dial_once(address).await {
+            Err(e) if is_local(&e) => sleep(DIAL_PAUSE).await,
+            done => return done,
+        }
+    }
+    dial_once(address).await
+}
+
+/// Opens a connection of which the system holds little that has not been passed on.
+async fn dial_once(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
     socket.connect(address).await
--- a/crates/gateway/src/system_error.rs
+++ b/crates/gateway/src/system_error.rs
@@ -19,6 +19,11 @@
     matches!(error.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable)
 }
 
+/// Whether a connection could not be opened for what this machine lacks just now; that says nothing of its far side.
+pub fn is_local(error: &io::Error) -> bool {
+    is_exhaustion(error) || is_address_unavailable(error) || error.kind() == io::ErrorKind::NetworkUnreachable
+}
+
 /// Whether the same call may do better a moment later, whatever it was.
 pub fn may_pass(error: &io::Error) -> bool {
     let errno = Errno::from_io_error(error);
