Name each constant in place of tuples of them

Cause: ten constants were tuples whose parts were read as .0 and .1. No value and no behaviour changes. Measured: all tests of the workspace pass.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -11,7 +11,10 @@
 
 const UNSEEN_RETRY: f64 = 0.25; // of a further attempt: what was turned away unseen cost no work
 const ITEM_GAIN: f64 = 0.1; // weight of one answer in a server's time per request held
-const FULL: (Micros, u32) = (100_000, 6); // µs; a server full to a plan is left alone; doublings
+/// A server that was full to a plan is left alone for so long at first, µs.
+const FIRST_FULL_PAUSE: Micros = 100_000;
+/// Times that this pause doubles.
+const FULL_PAUSE_DOUBLINGS: u32 = 6;
 /// Mean time to answer aimed at when short: longer queues end past the aim.
 pub(crate) const ANSWER_OF_AIM: f64 = 0.22;
 const FLOW_ROOM: f64 = 1.15; // room over what the flow of answers holds, so that it can grow
@@ -172,8 +175,8 @@
                 // Remembered for this plan alone: a server may turn one plan away and have room for others.
                 Status::Full => {
                     let f = x.shut.entry(plan).or_default();
-                    let gap = now.saturating_sub(x.judged).min(FULL.0 << FULL.1);
-                    *f = (now + (FULL.0 << f.1.min(FULL.1)).max(gap / 2), f.1 + 1);
+                    let gap = now.saturating_sub(x.judged).min(FIRST_FULL_PAUSE << FULL_PAUSE_DOUBLINGS);
+                    *f = (now + (FIRST_FULL_PAUSE << f.1.min(FULL_PAUSE_DOUBLINGS)).max(gap / 2), f.1 + 1);
                 }
                 Status::Error | Status::Reset => x.judge(now, false, false),
                 Status::ConnectFailed => x.judge(now, false, true),
@@ -185,7 +188,7 @@
             return self.close(id);
         }
         if !self.attempt(now, id, out) {
-            self.answer(id, FULL.0, out);
+            self.answer(id, FIRST_FULL_PAUSE, out);
         }
     }
 }
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -26,7 +26,10 @@
 const PROBE_SHARE: f64 = 0.4; // most probes a request
 const COLD_SAFETY: f64 = 0.5; // part of the fall budget used: requests differ in size, rates in time
 
-const USUAL: (f64, f64) = (0.7, 0.02); // rank: most tries are first ones; step, of the deadline
+/// Rank of the usual patience among clients': most tries are first ones.
+const USUAL_QUANTILE: f64 = 0.7;
+/// Step of that running quantile, as a part of the deadline.
+const USUAL_STEP: f64 = 0.02;
 const SHORT: f64 = 0.92; // a patience under this part of the usual shows a later try, not a slow network
 
 impl Gateway {
@@ -254,8 +257,8 @@
                 let deadline = now.saturating_add(patience - margin).min(self.ends);
                 // A later try has less than the usual patience (a running quantile): the rest has gone by.
                 let (deadline_us, left) = (self.settings.classes[class].deadline, patience as f64);
-                let up = if left > self.usual[class] { USUAL.0 } else { USUAL.0 - 1.0 };
-                self.usual[class] += up * USUAL.1 * deadline_us as f64;
+                let up = if left > self.usual[class] { USUAL_QUANTILE } else { USUAL_QUANTILE - 1.0 };
+                self.usual[class] += up * USUAL_STEP * deadline_us as f64;
                 let marks = self.settings.allow.marks_repeats;
                 let short = if marks { repeat } else { left < SHORT * self.usual[class] };
                 let waited = if short { deadline_us.saturating_sub(patience) } else { 0 };
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -12,9 +12,15 @@
 const METER_STALE: Micros = 4_000_000; // µs; with no figure of use for this long the even slice serves
 const METER_PRIOR_REQUESTS: f64 = 1.0; // requests; a reading made of fewer says little
 pub(crate) const DEMAND_MOST: f64 = 10.0; // quotas; a reading that is late tells the same excess twice
-const CALM: (f64, f64) = (0.5, 2.0); // quotas; so little use, seen in so many requests, needs no call
+/// Quotas: a customer whose demand is under this needs no call...
+const LOW_DEMAND: f64 = 0.5;
+/// ...once so many requests of it were seen.
+const LOW_DEMAND_REQUESTS: f64 = 2.0;
 const SPENT: f64 = 1.0; // use of a customer new here that leaves nothing in its store
-const DRY: (f64, f64) = (2.0, 1.5); // quotas; demand supposed of an empty counted store; times, if so again
+/// Quotas: the demand that is supposed of a customer whose counted store is empty...
+const EMPTY_STORE_DEMAND: f64 = 2.0;
+/// ...and the factor on what was supposed before, if it is empty again.
+const EMPTY_AGAIN_FACTOR: f64 = 1.5;
 const NAME_BITS: u32 = 33; // a customer's number is below 2^33; the window's start goes above it in a name
 const COUNT_FRESH: Micros = 200_000; // µs; a total this young needs no second look
 pub(crate) const COUNT_SURE: f64 = 0.5; // of the burst; others may draw a store with less dry meanwhile
@@ -27,7 +33,10 @@
 pub(crate) const CALLS_SPARED: f64 = MAX_SAVED_CALLS / 2.0; // left by use told late to requests that ask
 const CALLS_INCREASE: f64 = 1.05; // factor after a quick reply
 const CALLS_DECREASE: f64 = 0.85; // factor after a slow one
-const QUICK: (Micros, Micros) = (2, 4); // a reply within this part of a call's time limit is quick
+/// A reply within a call's time limit divided by this is quick...
+const QUICK_DIVISOR: Micros = 2;
+/// ...and by this where many gateways share the counter.
+const QUICK_DIVISOR_OF_MANY: Micros = 4;
 const CROWDED: Micros = 300_000; // µs; what was called before the last cut tells nothing of it
 
 impl Gateway {
@@ -78,7 +87,7 @@
         let weight = fresh * seen / (seen + METER_PRIOR_REQUESTS);
         let demand = (before + weight * (used * before.max(1.0) - before)).min(DEMAND_MOST);
         c.learn(now, demand, phase * r.units);
-        c.calm = !c.few() && demand < CALM.0 && c.terms.rate * meter >= CALM.1 * r.units;
+        c.calm = !c.few() && demand < LOW_DEMAND && c.terms.rate * meter >= LOW_DEMAND_REQUESTS * r.units;
         if demand.max(before) > 1.0 && !self.near {
             self.publish(customer);
         }
@@ -118,7 +127,7 @@
     ) {
         let ((total, lost, took), fraction) = (end, self.random_source.next_fraction());
         let (limit, many) = (self.settings.allow.count_limit, self.settings.gateways > OFTEN);
-        let quick = if many { QUICK.1 } else { QUICK.0 };
+        let quick = if many { QUICK_DIVISOR_OF_MANY } else { QUICK_DIVISOR };
         let quick = total.is_some() && (limit == 0 || took < limit / quick);
         if quick || now >= self.cut + CROWDED {
             let gain = if quick { CALLS_INCREASE } else { CALLS_DECREASE };
@@ -157,7 +166,11 @@
             if !c.few() {
                 c.local_allowance = c.bucket_level.max(0.0);
             }
-            let dry = if c.few() { DRY.0 } else { (DRY.1 * c.demand(now)).clamp(DRY.0, DEMAND_MOST) };
+            let dry = if c.few() {
+                EMPTY_STORE_DEMAND
+            } else {
+                (EMPTY_AGAIN_FACTOR * c.demand(now)).clamp(EMPTY_STORE_DEMAND, DEMAND_MOST)
+            };
             if c.bucket_level < 1.0 && c.demand(now) < dry {
                 c.learn(now, dry, 0.0);
             }
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -9,9 +9,15 @@
 const OK_EJECT: f64 = 0.8; // score below which a server is ejected: three errors in quick succession
 const OK_CLEAR: f64 = 0.9; // a score that clears the record of past ejections
 const HEAL_S: f64 = 5.0; // s; an old verdict fades in this time, so that an unused server is tried again
-const EJECT: (Micros, u32) = (1_000_000, 4); // µs; first ejection; doublings, to 16 s: under a usual outage
+/// The first ejection of a server, µs.
+const FIRST_EJECTION: Micros = 1_000_000;
+/// Times that an ejection doubles, to 16 s: under a usual outage.
+const EJECTION_DOUBLINGS: u32 = 4;
 pub(crate) const REPORT_S: f64 = 1.0; // s; a report's weight falls by e in this time
-const SLOW: (f64, f64) = (0.97, 0.1); // part of the answers that is not slow; step of the figure, of the aim
+/// Part of the answers that is not slow.
+const SLOW_QUANTILE: f64 = 0.97;
+/// Step of that running quantile, as a part of the aim.
+const SLOW_STEP: f64 = 0.1;
 const SILENT: f64 = 2.0; // slow answers; an attempt out for longer will not be answered
 const SILENT_OF_AIM: f64 = 0.4; // nor is one given up before, so that a quick server may be slow for once
 
@@ -53,7 +59,9 @@
             self.ejections = 0;
         }
         if (dead || self.ok < OK_EJECT) && now >= self.ejected {
-            self.ejected = now + (EJECT.0 << self.ejections.min(EJECT.1)).max(gap.min(EJECT.0 << EJECT.1));
+            self.ejected = now
+                + (FIRST_EJECTION << self.ejections.min(EJECTION_DOUBLINGS))
+                    .max(gap.min(FIRST_EJECTION << EJECTION_DOUBLINGS));
             self.ejections += 1;
             self.ok = OK_EJECT; // the next error ejects again
         }
@@ -82,9 +90,9 @@
 
     /// Books an attempt that was answered after this time, or given up then.
     pub fn learn(&mut self, class: usize, aim: Micros, took: Micros) {
-        let step = SLOW.1 * aim as f64;
+        let step = SLOW_STEP * aim as f64;
         if let Some(slow) = self.0.get_mut(class) {
-            let up = if took as f64 > *slow { SLOW.0 } else { SLOW.0 - 1.0 };
+            let up = if took as f64 > *slow { SLOW_QUANTILE } else { SLOW_QUANTILE - 1.0 };
             *slow = (*slow + up * step).max(0.0);
         }
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -38,11 +38,15 @@
 /// The pause after a failed call of an agent, and after one that told nothing new at once: a watch goes on, and
 /// what changes meanwhile counts as told, if the next call comes within 200 ms.
 const AGAIN: Duration = Duration::from_millis(100);
-/// The pause after a failed call of a shared service: first, and at most, for each gateway of the fleet. The more
-/// there are, the more seldom each may ask again.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(60));
-/// The longest pause of a small fleet, and of any: what discovery tells must not be learnt much later.
-const BACKOFF_MOST: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(4_000));
+/// The first pause after a failed call of a shared service, for each gateway of the fleet: the more there are, the more
+/// seldom each may ask again...
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+/// ...and the longest, for each gateway...
+const LONGEST_BACKOFF: Duration = Duration::from_millis(60);
+/// ...but no shorter than this...
+const LONGEST_BACKOFF_OF_FEW: Duration = Duration::from_millis(500);
+/// ...and no longer: what discovery tells must not be learnt much later.
+const LONGEST_BACKOFF_OF_ANY: Duration = Duration::from_millis(4_000);
 /// What discovery has counts as told 6 s after it could be reached, however the call that was out then ends: the next
 /// one begins so long after it at the latest, and has the rest for its answer.
 const NEXT_CALL: Duration = Duration::from_millis(5_000);
@@ -125,8 +129,9 @@
 impl Pauses {
     fn new(gateways: usize, seed: u64) -> Pauses {
         let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
-        let most = BACKOFF.1.saturating_mul(gateways).clamp(BACKOFF_MOST.0, BACKOFF_MOST.1);
-        let first = BACKOFF.0.saturating_mul(gateways).min(most);
+        let most =
+            LONGEST_BACKOFF.saturating_mul(gateways).clamp(LONGEST_BACKOFF_OF_FEW, LONGEST_BACKOFF_OF_ANY);
+        let first = FIRST_BACKOFF.saturating_mul(gateways).min(most);
         Pauses { rng: fastrand::Rng::with_seed(seed), first, most, next: first }
     }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -13,9 +13,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// How long in silence, how long in all, and for how many bytes, a closing connection reads what its client
-/// still sends: closing with input unread would reset the connection and could take the answer along.
-const LINGER: (Duration, Duration, usize) = (Duration::from_secs(1), Duration::from_secs(6), 64 << 20);
+/// A closing connection reads what its client still sends, since closing with input unread would reset the connection and
+/// could take the answer along: until the client is silent for so long...
+const LINGER_SILENCE: Duration = Duration::from_secs(1);
+/// ...for so long in all...
+const LINGER_MOST: Duration = Duration::from_secs(6);
+/// ...and so many bytes.
+const LINGER_BYTES: usize = 64 << 20;
 /// Most that is kept of what a client sends while its request is in work; clients send one request at a time.
 const AHEAD_MOST: usize = 16 << 10;
 /// Bytes read at a time of what a client sends while its request is in work.
@@ -256,10 +260,10 @@
         };
         let Some(mut stream) = stream.filter(|_| !ended) else { return };
         let read_out = async {
-            let (mut data, mut left) = ([0; 4096], LINGER.2);
+            let (mut data, mut left) = ([0; 4096], LINGER_BYTES);
             stream.shutdown().await?;
             while left > 0 {
-                match timeout(LINGER.0, stream.read(&mut data)).await?? {
+                match timeout(LINGER_SILENCE, stream.read(&mut data)).await?? {
                     0 => break,
                     n => left = left.saturating_sub(n),
                 }
@@ -267,7 +271,7 @@
             io::Result::Ok(())
         };
         // However that ended, the connection closes now.
-        let _ = timeout(LINGER.1, read_out).await;
+        let _ = timeout(LINGER_MOST, read_out).await;
     }
 
     /// Hands on what was read ahead, if there is any.
