--- a/crates/gateway/tests/loopback/takeover.rs
+++ b/crates/gateway/tests/loopback/takeover.rs
@@ -85,6 +85,19 @@
     assert_eq!(new.client().call(&status()).status(), 429, "the store is full again");
 }
 
+/// Nothing lasts but a control socket for a successor: a folder where none can be made keeps no process from serving.
+#[test]
+fn a_folder_that_cannot_be_written_keeps_nobody_from_serving() {
+    let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+    let missing = folder().join("missing");
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    let agent = Agent::start(known.to_vec());
+    let gateway = Gateway::start_in(&config(&agent, &known), &missing);
+    assert_eq!(gateway.client().call(&status()).status(), 200);
+    gateway.terminate();
+    assert!(gateway.wait().success());
+}
+
 /// What is left of a quota, and how fast it fills again, do not depend on a wall clock that was stepped between the
 /// starts of the two processes.
 #[test]
