--- a/crates/gateway/tests/loopback/counter.rs
+++ b/crates/gateway/tests/loopback/counter.rs
@@ -104,3 +104,32 @@
     assert!(seen.is_some());
     assert!(old.unread().is_empty(), "the old counter was called again");
 }
+
+/// The counter resets connections of a gateway beyond 32: however many customers wait for a counter that says nothing,
+/// and though it moves meanwhile, there are fewer.
+#[test]
+fn a_silent_counter_is_not_flooded_with_connections() {
+    let server = Server::start(|_| ok());
+    let (counter, moved) = (Server::start(|_| Does::Hangs), Server::start(|_| Does::Hangs));
+    let (gateway, agent) = before(&server, counter.address, |_| {});
+    let new_customer = |number: usize| patient().replace("00000000b4d65521", &format!("{number:016x}"));
+    let ask = |numbers: std::ops::Range<usize>| -> Vec<Client> {
+        let clients = numbers.map(|number| {
+            let mut client = gateway.client();
+            client.write(&new_customer(number));
+            client
+        });
+        let clients = clients.collect();
+        // It is answered once all that came before it was read.
+        assert_eq!(gateway.client().call("GET /other HTTP/1.1\r\nHost: a\r\n\r\n").status(), 400);
+        clients
+    };
+    let _waiting = ask(1..60);
+    counter.request();
+    let known = [entry("s-1", server.address, "room-a", "ready")];
+    gateway.configure(&counting_config(&agent, &known, moved.address).to_string());
+    gateway.logged("the counter moves");
+    let _more = ask(60..120);
+    let open = |counter: &Server| counter.connections.load(std::sync::atomic::Ordering::SeqCst);
+    assert!(open(&counter) + open(&moved) <= 32, "{} and {}", open(&counter), open(&moved));
+}
--- a/crates/gateway/tests/loopback/discovery.rs
+++ b/crates/gateway/tests/loopback/discovery.rs
@@ -189,30 +189,40 @@
 /// least memory that a process is given is enough.
 #[test]
 fn a_thousand_gateways_and_a_thousand_servers_are_no_limit() {
+    a_fleet_is_known(1_024, 1_024, 24 << 10);
+}
+
+/// The largest fleet of the terms, which allow 4 MB more for each thousand servers.
+#[test]
+fn nine_hundred_gateways_and_thirty_two_hundred_servers_are_no_limit() {
+    a_fleet_is_known(900, 3_200, (24 + 2 * 4) << 10);
+}
+
+/// Serves from the configuration's list and from one that replaces it at once, within so many KiB.
+fn a_fleet_is_known(gateways: usize, servers: usize, memory: u64) {
     let (first, last) = (named("first"), named("last"));
     let many = |name: &str, at: &Server| -> Vec<_> {
-        (0..1_024).map(|k| entry(&format!("{name}-{k:04}"), at.address, "room-a", "ready")).collect()
+        (0..servers).map(|k| entry(&format!("{name}-{k:04}"), at.address, "room-a", "ready")).collect()
     };
     let known = many("s", &first);
     let agent = Agent::start(known.clone());
     let mut config = config(&agent, &known);
     config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
-    for field in ["siblings", "me"] {
-        config["settings"][field] = json!(if field == "me" { 1_023 } else { 1_024 });
-    }
+    config["settings"]["siblings"] = json!(gateways);
+    config["settings"]["me"] = json!(gateways - 1);
     let gateway = Gateway::start_within(&config, 256);
     let mut client = gateway.client();
-    for first in [0, 1_000, 1_023] {
-        let request = status().replace("spread=1,first=0", &format!("spread=1024,first={first}"));
-        assert_eq!(client.call(&request).body, b"first");
+    let from =
+        |first: usize| status().replace("spread=1,first=0", &format!("spread={gateways},first={first}"));
+    for first in [0, gateways / 2, gateways - 1] {
+        assert_eq!(client.call(&from(first)).body, b"first");
     }
     // All are replaced at once.
     agent.recover(many("t", &last));
     for _ in 0..20 {
-        let request = status().replace("spread=1,first=0", "spread=1024,first=0");
-        assert_eq!(client.call(&request).body, b"last");
+        assert_eq!(client.call(&from(0)).body, b"last");
     }
-    assert!(gateway.resident() < 24 << 10, "{} KiB", gateway.resident());
+    assert!(gateway.resident() < memory, "{} KiB", gateway.resident());
 }
 
 /// Idle clients take all the descriptors that clients may have, and more wait, while discovery is down. What the gateway
