--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// Makes a call until it succeeds or fails for a reason that does not pass; `what` is for is named in the error.
+/// Makes a call until it succeeds or fails for a reason that does not pass. The error names `what` the call was for.
 pub async fn retry<T, F: Future<Output = io::Result<T>>>(what: &str, call: impl Fn() -> F) -> io::Result<T> {
     let start = Instant::now();
     loop {
