--- a/crates/gateway/tests/loopback/faults.rs
+++ b/crates/gateway/tests/loopback/faults.rs
@@ -1,7 +1,9 @@
 //! System calls that fail in ways that Linux documents: every request still gets its one answer.
 
 use crate::rig::*;
-use std::time::{Duration, Instant};
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Large enough to be passed on as it comes, and to fill a socket's buffer.
 const LONG_ANSWER: usize = 600_000;
@@ -56,6 +58,26 @@
     }
 }
 
+/// Connections that came before the listener closes are taken in though `accept` fails meanwhile.
+#[test]
+fn a_failing_accept_loses_no_client_of_a_gateway_told_to_stop() {
+    for (seed, kind) in [(1, "accept"), (2, "accept"), (3, "accept_full"), (4, "accept_full")] {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let (gateway, _agent) = gateway_under(&format!("{kind}=80 seed={seed}"), &server);
+        gateway.pause();
+        let mut clients: Vec<Client> = (0..40).map(|_| gateway.client()).collect();
+        clients.iter_mut().for_each(|client| client.write(&status()));
+        gateway.terminate();
+        gateway.resume();
+        for client in &mut clients {
+            let answer = client.answer().expect("closed with no answer");
+            // So many at once may be more than one server is sent.
+            assert!(matches!(answer.status(), 200 | 429), "{kind}, seed {seed}: {}", answer.start);
+        }
+        assert!(gateway.wait().success());
+    }
+}
+
 /// Sockets, addresses and descriptors may not be had for some seconds: a start waits for them.
 #[test]
 fn a_start_survives_two_seconds_without_sockets() {
@@ -67,3 +89,35 @@
         assert_eq!(gateway.client().call(&status()).status(), 200);
     }
 }
+
+/// A wall clock that is an hour off says nothing of when servers started: the connections to one that started a moment
+/// ago are used again, and those to its process before are not.
+#[test]
+fn connections_outlive_requests_whatever_the_wall_clock_says() {
+    for faults in ["wall_s=0", "wall_s=3600", "wall_s=-3600", "wall_step_ms=100"] {
+        let server = Server::start(|_| Does::Answers("200 OK", b"done".to_vec()));
+        let started = |ago: Duration| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+            let mut entry = entry("s-1", server.address, "room-a", "ready");
+            entry["since_ms"] = json!((now - ago).as_millis() as u64);
+            entry
+        };
+        let known = [started(Duration::from_secs(60))];
+        let agent = Agent::start(known.to_vec());
+        let mut config = patient_config(&agent, &known);
+        // The cold ramp is not what this is about.
+        config["settings"]["rules"]["coldFrom"] = json!(1.0);
+        let gateway = Gateway::start_under(&config, faults);
+        let mut client = gateway.client();
+        let mut play = || {
+            for _ in 0..10 {
+                assert_eq!(client.call(&status()).status(), 200, "{faults}");
+            }
+            server.connections.load(Ordering::SeqCst)
+        };
+        assert!(play() <= 2, "{faults}: connections were not used again");
+        let before = play();
+        agent.change(vec![started(Duration::ZERO)]);
+        assert!(play() > before, "{faults}: a connection to the process before was used");
+    }
+}
