--- a/crates/core/src/start_times.rs
+++ b/crates/core/src/start_times.rs
@@ -1,12 +1,13 @@
-//! When servers started, by this process's clock. Discovery tells starts by the fleet's wall clock, from which that of
-//! this machine may be off by any time if it was stepped before the process began. Called by `membership.rs` for each
-//! list.
+//! When servers started, by this process's clock. Discovery tells starts by the fleet's wall clock,
+//! from which that of this machine may be off by any time if it was stepped before the process began.
+//! Called by `membership.rs` for each list.
 //!
-//! Two facts bound the difference without a look at the wall clock. No start that was told lies in the future. And a
-//! start newer than any seen before has happened since discovery last answered, but for the time that news takes to
-//! arrive. A clock that contradicts one of them is corrected such that the newest start was just now, which errs on
-//! the side of the slower ramp. What remains unseen is a clock ahead by less than [`NEWS_DELAY`], and one that is
-//! ahead as the first list tells of a start that was recent then.
+//! Two facts bound the difference without a look at the wall clock. No start that was told lies in the
+//! future. And a start newer than any seen before has happened since discovery last answered, but for
+//! the time that news takes to arrive. A clock that contradicts one of them is corrected such that the
+//! newest start was just now, which errs on the side of the slower ramp. What remains unseen is a clock
+//! ahead by less than [`NEWS_DELAY`], and one that is ahead as the first list tells of a start that was
+//! recent then.
 
 use crate::api::*;
 
