--- a/crates/gateway/tests/loopback/discovery.rs
+++ b/crates/gateway/tests/loopback/discovery.rs
@@ -5,10 +5,6 @@
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
-fn named(name: &'static str) -> Server {
-    Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()))
-}
-
 #[test]
 fn a_known_name_at_another_address_is_followed() {
     let (old, new) = (named("old"), named("new"));
--- a/crates/gateway/tests/loopback/lifecycle.rs
+++ b/crates/gateway/tests/loopback/lifecycle.rs
@@ -120,8 +120,6 @@
 /// holds its call and stands at the same version; one that cannot be used changes nothing.
 #[test]
 fn a_new_configuration_moves_the_watch_and_a_bad_one_is_passed_over() {
-    let named =
-        |name: &'static str| Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()));
     let (first, second) = (named("first"), named("second"));
     let (gateway, old) = Gateway::before(&[("s-1", &first, "room-a")]);
     let mut client = gateway.client();
@@ -146,8 +144,6 @@
 /// The file may be half written as the signal comes, and whole a moment later, with no further signal.
 #[test]
 fn a_configuration_completed_after_its_signal_is_taken_up() {
-    let named =
-        |name: &'static str| Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()));
     let (first, second) = (named("first"), named("second"));
     let (gateway, _old) = Gateway::before(&[("s-1", &first, "room-a")]);
     let new = Agent::start(vec![entry("s-2", second.address, "room-a", "ready")]);
--- a/crates/gateway/tests/loopback/rig.rs
+++ b/crates/gateway/tests/loopback/rig.rs
@@ -150,6 +150,11 @@
     }
 }
 
+/// A server that answers each request with its name.
+pub fn named(name: &'static str) -> Server {
+    Server::start(move |_| Does::Answers("200 OK", name.as_bytes().to_vec()))
+}
+
 fn serve(stream: TcpStream, notes: &Sender<Note>, count: &AtomicUsize, script: &dyn Fn(usize) -> Does) {
     stream.set_nodelay(true).unwrap();
     let mut writer = stream.try_clone().unwrap();
