Let the fault library delay socket calls as if the gateway waited for a core

Change: syscall_faults.c delays calls by seed (preempt, preempt_ms, preempt_seed) and every close of a listening socket (preempt_listener_ms); the soak adds SOAK_FAULTS to what each seed draws, whose draws stay as they were, and prints when a failing request's client connected.

--- a/crates/gateway/tests/loopback/soak/checks.rs
+++ b/crates/gateway/tests/loopback/soak/checks.rs
@@ -31,10 +31,12 @@
         let found = request_violations(request, &attempts, crowded);
         if !found.is_empty() {
             violations.extend(found);
-            let since_signal = record.since_signal(request.written_at);
+            let connected = record.since_signal(request.connected_at);
+            let written = record.since_signal(request.written_at);
             attempts.sort_by_key(|receipt| receipt.first_byte_at);
             violations.push(format!(
-                "  {request:?}, {since_signal:?} after the signal to stop, attempts {attempts:#?}"
+                "  {request:?}, connected {connected:?} and written {written:?} after the signal to stop, \
+                 attempts {attempts:#?}"
             ));
         }
     }
--- a/crates/gateway/tests/loopback/soak/client.rs
+++ b/crates/gateway/tests/loopback/soak/client.rs
@@ -37,6 +37,8 @@
 pub struct Connection {
     /// The stream.
     stream: BufReader<TcpStream>,
+    /// When it had been established.
+    connected_at: Instant,
     /// Whether no request was sent on it yet.
     is_new: bool,
 }
@@ -57,8 +59,9 @@
     /// Connects to the gateway.
     fn open(address: SocketAddr) -> Option<Connection> {
         let stream = TcpStream::connect(address).ok()?;
+        let connected_at = Instant::now();
         stream.set_nodelay(true).ok()?;
-        Some(Connection { stream: BufReader::new(stream), is_new: true })
+        Some(Connection { stream: BufReader::new(stream), connected_at, is_new: true })
     }
 }
 
@@ -77,6 +80,7 @@
         let request = self.draw_request();
         self.write(connection.stream.get_mut(), &request.text).ok()?;
         let written_at = Instant::now();
+        let connected_at = connection.connected_at;
         let first_on_connection = connection.is_new;
         let end = if self.rng.u8(..100) < DISCONNECT_PERCENT {
             self.disconnect(connection)
@@ -84,7 +88,7 @@
             self.read_response(connection, request.timeout)
         };
         let DrawnRequest { id, class, timeout, .. } = request;
-        let sent = ClientRequest { id, class, timeout, written_at, first_on_connection, end };
+        let sent = ClientRequest { id, class, timeout, connected_at, written_at, first_on_connection, end };
         self.record.requests.lock().unwrap().push(sent);
         Some(())
     }
@@ -131,7 +135,7 @@
         let Some(response) = response else { return RequestEnd::Closed };
         let at = Instant::now();
         if response.header("connection") != "close" && response.complete {
-            self.connection = Some(Connection { stream: connection.stream, is_new: false });
+            self.connection = Some(Connection { is_new: false, ..connection });
         }
         RequestEnd::Response { status: response.status(), complete: response.complete, at }
     }
--- a/crates/gateway/tests/loopback/soak/plan.rs
+++ b/crates/gateway/tests/loopback/soak/plan.rs
@@ -31,6 +31,9 @@
     "wall_step_ms=300",
 ];
 
+/// Faults that all seeds run under beside those that they draw.
+const COMMON_FAULTS: &str = "SOAK_FAULTS";
+
 /// What is drawn for a run.
 pub struct Plan {
     /// The system calls that fail.
@@ -48,8 +51,9 @@
     pub fn draw(rng: &mut Rng, seed: u64) -> Plan {
         let chosen: Vec<&str> = FAULT_KINDS.into_iter().filter(|_| rng.u8(..100) < FAULT_PERCENT).collect();
         let crowded = rng.u8(..100) < CROWD_PERCENT;
+        let common = std::env::var(COMMON_FAULTS).unwrap_or_default();
         Plan {
-            faults: format!("{} seed={seed}", chosen.join(" ")),
+            faults: format!("{common} {} seed={seed}", chosen.join(" ")).trim_start().to_owned(),
             deadline: Duration::from_millis(rng.choice([100, 300, 800, 1_500]).unwrap()),
             descriptors: if crowded { 256 } else { 1_024 },
             idle_connections: if crowded { 300 } else { 0 },
--- a/crates/gateway/tests/loopback/soak/record.rs
+++ b/crates/gateway/tests/loopback/soak/record.rs
@@ -47,6 +47,8 @@
     pub class: usize,
     /// How long its client waits.
     pub timeout: Duration,
+    /// When its connection had been established.
+    pub connected_at: Instant,
     /// When its last byte had been written.
     pub written_at: Instant,
     /// Whether it is the first request on its connection.
--- a/crates/gateway/tests/loopback/syscall_faults.c
+++ b/crates/gateway/tests/loopback/syscall_faults.c
@@ -12,6 +12,11 @@
 //   read, write  fewer bytes than asked for are transferred
 //   broken       a connection that the gateway opened breaks at a read or write
 //   hold         a write is delayed by 150 ms, at most once a second
+// As if the process had to wait for a core:
+//   preempt              how many in a thousand socket calls begin late: accept, connect, close, shutdown, reads, writes
+//   preempt_ms           by how much at most
+//   preempt_seed         of these draws
+//   preempt_listener_ms  by how much every close of a listening socket does
 // Others:
 //   for_ms        faults end this long after the start of the process
 //   seed          of the random draws
@@ -31,13 +36,15 @@
 
 #define REAL(name) static __typeof__(name) *real; if (!real) real = dlsym(RTLD_NEXT, #name)
 
-/* The length of a clock step, and the length and the least interval of delayed writes. */
-enum { HOUR_S = 3600, HOLD_MS = 150, HOLD_EVERY_MS = 1000 };
+/* The length of a clock step, the length and the least interval of delayed writes, and the default delay of late calls. */
+enum { HOUR_S = 3600, HOLD_MS = 150, HOLD_EVERY_MS = 1000, PREEMPT_MS = 20 };
 
 /* Whether this process is the gateway; -1 until that is known. */
 static int active = -1;
 /* The state of the random draws. */
 static unsigned draw_state;
+/* The state of the draws of late calls, which leave the other draws as they are. */
+static unsigned preempt_state;
 /* The monotonic time of the first intercepted call. */
 static long started_ms;
 
@@ -71,13 +78,39 @@
     if (file) { if (!fgets(name, sizeof name, file)) name[0] = 0; fclose(file); }
     active = getenv("SYSCALL_FAULTS") && !strcmp(name, "grebehook\n");
     draw_state = (unsigned)number("seed", 1) * 2654435761u;
+    preempt_state = (unsigned)number("preempt_seed", 1) * 2654435761u;
     started_ms = monotonic_ms();
   }
   return active;
 }
 
-/* A pseudo-random number of 16 bits. */
-static unsigned draw(void) { draw_state = draw_state * 1103515245u + 12345u; return draw_state >> 16; }
+/* The next pseudo-random number of 16 bits of a sequence. */
+static unsigned next(unsigned *state) { *state = *state * 1103515245u + 12345u; return *state >> 16; }
+static unsigned draw(void) { return next(&draw_state); }
+
+/* Waits for some milliseconds. */
+static void sleep_ms(long ms) {
+  struct timespec time = {ms / 1000, ms % 1000 * 1000000L};
+  nanosleep(&time, 0);
+}
+
+/* Draws whether the process waits for a core before a call; leaves errno as it is. */
+static void preempt(void) {
+  int kept = errno;
+  long per_mille = is_active() ? number("preempt", 0) : 0;
+  if (per_mille && (long)(next(&preempt_state) % 1000) < per_mille)
+    sleep_ms(1 + next(&preempt_state) % number("preempt_ms", PREEMPT_MS));
+  errno = kept;
+}
+
+/* Delays the close of a listening socket; leaves errno as it is. */
+static void preempt_close(int fd) {
+  int kept = errno, listens = 0;
+  socklen_t length = sizeof listens;
+  long listener_ms = is_active() ? number("preempt_listener_ms", 0) : 0;
+  if (listener_ms && !getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) && listens) sleep_ms(listener_ms);
+  errno = kept;
+}
 
 /* Draws whether a call of a kind fails; leaves errno as it is. */
 static int fails(const char *kind) {
@@ -110,14 +143,14 @@
 /* Draws whether a write is delayed. */
 static void hold(void) {
   static long last_ms;
-  struct timespec time = {0, HOLD_MS * 1000000L};
   if (!fails("hold") || monotonic_ms() - last_ms < HOLD_EVERY_MS) return;
-  nanosleep(&time, 0);
+  sleep_ms(HOLD_MS);
   last_ms = monotonic_ms();
 }
 
 /* The intercepted calls. Unix sockets and data that is only peeked at are left alone. */
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) { REAL(accept4);
+  preempt();
   if (fails("accept")) FAIL(ECONNABORTED, EPROTO, ENETUNREACH, EHOSTUNREACH, ENETDOWN, EINTR);
   if (fails("accept_full")) FAIL(ENFILE, ENOBUFS, EMFILE, ENOMEM);
   int accepted = real(fd, address, length, flags);
@@ -130,9 +163,12 @@
   if (address->sa_family != AF_UNIX && fails("bind")) FAIL(EADDRINUSE, EADDRNOTAVAIL, ENOBUFS, ENOMEM);
   return real(fd, address, length); }
 int connect(int fd, const struct sockaddr *address, socklen_t length) { REAL(connect);
+  preempt();
   if (address->sa_family != AF_UNIX && fails("connect")) FAIL(EADDRNOTAVAIL, ENETUNREACH, ENOBUFS);
   note_opened(fd, address->sa_family != AF_UNIX);
   return real(fd, address, length); }
+int close(int fd) { REAL(close); preempt_close(fd); preempt(); return real(fd); }
+int shutdown(int fd, int how) { REAL(shutdown); preempt(); return real(fd, how); }
 int epoll_create1(int flags) { REAL(epoll_create1); if (fails("descriptor")) FAIL(ENFILE, EMFILE, ENOMEM); return real(flags); }
 int eventfd(unsigned value, int flags) { REAL(eventfd); if (fails("descriptor")) FAIL(ENFILE, EMFILE, ENOMEM); return real(value, flags); }
 int socketpair(int domain, int type, int protocol, int pair[2]) { REAL(socketpair);
@@ -142,10 +178,12 @@
   if (fails("wait")) FAIL(EINTR);
   return real(fd, events, most, timeout); }
 ssize_t recv(int fd, void *data, size_t length, int flags) { REAL(recv);
+  preempt();
   if (!(flags & MSG_PEEK) && breaks(fd)) FAIL(ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET);
   if (length > 1 && !(flags & MSG_PEEK) && fails("read")) length = 1 + draw() % (length < 7 ? length : 7);
   return real(fd, data, length, flags); }
 ssize_t send(int fd, const void *data, size_t length, int flags) { REAL(send);
+  preempt();
   hold();
   if (breaks(fd)) FAIL(ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET, EPIPE);
   if (length > 1 && fails("write")) length = 1 + length / 3;
