Refuse new handshakes before the client listener closes

Cause: ClientServer::accept_rest accepted until WouldBlock and then dropped the listener; a handshake that ended in between was reset by the close. Change: before the last accepts a packet filter on the listener drops the first segment of new handshakes; those that have begun have 20 ms to end. A listener that the previous process still has is not filtered: that process may accept at the same socket again. A refused filter is logged. The close is logged, too, so that a trace tells a late client from a lost one. Why it works: no new handshake can begin while the queue is emptied, so the close finds it empty; the client has no connection and has sent nothing. Weighed: listen(0) drops the last segment of handshakes whose clients believe they are connected; shutdown resets the queue; moving queued connections to another listener is a setting of the whole machine.

--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -77,11 +77,10 @@
         }
     }
 
-    /// Accepts what waits in the listener's backlog, as a request there may count as accepted, and closes the
-    /// listener. The system is asked directly, since what the runtime knows is as old as its last poll for events.
-    /// Errors are retried until the deadline.
-    pub async fn accept_rest(self: &Rc<Self>, listener: TcpListener, deadline: Instant) {
-        let Ok(listener) = listener.into_std() else { return };
+    /// Accepts what waits in the listener's backlog, as a request there may count as accepted. The system is asked
+    /// directly, since what the runtime knows is as old as its last poll for events. Errors are retried until the
+    /// deadline.
+    pub async fn accept_backlog(self: &Rc<Self>, listener: &std::net::TcpListener, deadline: Instant) {
         let mut consecutive_errors = 0;
         loop {
             match listener.accept() {
--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -4,11 +4,12 @@
 use crate::clients::server::ClientServer;
 use crate::driver::decision_driver::DecisionDriver;
 use crate::lifecycle::serving::ServingEnd;
+use crate::lifecycle::startup::ClientListener;
+use crate::network::handshake_filter::refuse_new_handshakes;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::time::{sleep, sleep_until, timeout};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// SIGKILL comes no sooner after the stop signal than the longest deadline, of which no more than this counts...
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_millis(3_000);
@@ -25,6 +26,8 @@
 /// How long after the last client the listener closes, and how long after that idle connections close: a client
 /// that has just connected needs time to send its request.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// How long a handshake may take that has begun when new ones are refused: a round trip between zones.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 /// How often idle connections are closed.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,7 +52,7 @@
         &self,
         clients: &Rc<ClientServer>,
         driver: &Rc<DecisionDriver>,
-        listener: TcpListener,
+        listener: ClientListener,
         serving_end: &ServingEnd,
     ) {
         driver.shut_down_by(self.answers_by());
@@ -83,16 +86,31 @@
     }
 
     /// Accepts the clients that still connect, then closes the listener.
-    async fn accept_late(&self, clients: &Rc<ClientServer>, listener: TcpListener) {
+    async fn accept_late(&self, clients: &Rc<ClientServer>, listener: ClientListener) {
         loop {
             let until = self.accepts_until(clients.last_accepted_at());
             let remaining = until.saturating_duration_since(Instant::now());
-            let accepted = timeout(remaining, clients.accept(&listener)).await;
+            let accepted = timeout(remaining, clients.accept(&listener.listener)).await;
             if accepted.is_err() && Instant::now() >= self.accepts_until(clients.last_accepted_at()) {
                 break;
             }
         }
-        clients.accept_rest(listener, self.closes_idle_by()).await;
+        self.close_listener(clients, listener).await;
+        info!("no longer accepting clients");
+    }
+
+    /// Accepts the clients whose handshake has begun, and closes the listener. Unless new handshakes are refused
+    /// meanwhile, one may end between the last `accept` and the close, and its client loses its request.
+    async fn close_listener(&self, clients: &Rc<ClientServer>, listener: ClientListener) {
+        let is_shared = listener.is_shared();
+        let Ok(listener) = listener.listener.into_std() else { return };
+        if !is_shared {
+            match refuse_new_handshakes(&listener) {
+                Ok(()) => sleep(HANDSHAKE_TIME).await,
+                Err(error) => warn!(%error, "new connections cannot be refused while the listener closes"),
+            }
+        }
+        clients.accept_backlog(&listener, self.closes_idle_by()).await;
     }
 
     /// Closes idle connections and waits until no client is left, or the process has to exit.
--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -34,6 +34,13 @@
     pub predecessor: Option<ControlConnection>,
 }
 
+impl ClientListener {
+    /// Whether the process that handed the listener over still has it, and accepts clients again if this one ends.
+    pub fn is_shared(&self) -> bool {
+        self.predecessor.as_ref().is_some_and(takeover::is_connected)
+    }
+}
+
 /// Reads the configuration.
 pub fn load(path: &Path) -> Result<Config, ConfigError> {
     let is_readable_later =
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -102,15 +102,14 @@
     let name = config.name.clone();
     let ops = config.ops;
 
-    // The connection to the predecessor process stays open until this process ends.
-    let ClientListener { listener, predecessor: _predecessor } = tokio::select! {
+    let listener: ClientListener = tokio::select! {
         // The predecessor may have handed over already; its clients are shut down gracefully like any others.
         biased;
         listener = startup::client_listener(&driver, config.listen) => listener?,
         // Nobody has been accepted yet, and a predecessor that was asked to hand over continues.
         _ = &mut signals.stop => return Ok(()),
     };
-    let address = listener.local_addr().map_err(RunError::LocalAddress)?;
+    let address = listener.listener.local_addr().map_err(RunError::LocalAddress)?;
     let control_socket = takeover::listen_for_successor(address);
     spawn_local(Reload { path, discovery_agent, counter }.run(signals.reload));
     let clients = client_server(config, &resources, &driver);
@@ -120,7 +119,8 @@
     }
 
     let control_socket = control_socket.as_ref();
-    let end = serve_until_stopped(&clients, &driver, &listener, control_socket, &mut signals.stop).await?;
+    let end =
+        serve_until_stopped(&clients, &driver, &listener.listener, control_socket, &mut signals.stop).await?;
     Shutdown::new(end.signalled_at, shutdown_limit).run(&clients, &driver, listener, &end).await;
     info!(gateway = %name, "stopped");
     Ok(())
--- a/crates/gateway/src/network/mod.rs
+++ b/crates/gateway/src/network/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, headers and errors of system calls, as all other modules use them.
 
+pub mod handshake_filter;
 pub mod headers;
 pub mod repeat_limiter;
 pub mod socket;
--- a/crates/gateway/tests/loopback/lifecycle.rs
+++ b/crates/gateway/tests/loopback/lifecycle.rs
@@ -15,6 +15,8 @@
 
 /// The gateway's log line for a configuration that it does not load.
 const RELOAD_REFUSED: &str = "keeping the previous configuration";
+/// The time between two clients that connect one after the other.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The configuration is no JSON, lacks a part or holds an invalid value.
 #[test]
@@ -94,6 +96,26 @@
     assert!(gateway.wait().success());
 }
 
+/// Guards against a reset of connections whose handshake ended between the listener's last accept and its close.
+#[test]
+fn client_that_connects_as_the_listener_closes_is_answered_or_refused() {
+    let server = Server::healthy();
+    let gateway = Deployment::with_server(&server).faults("preempt_listener_ms=100").start();
+    gateway.terminate();
+    let mut clients = Vec::new();
+    while let Ok(mut client) = Client::connect(gateway.address) {
+        client.write(&idempotent_request());
+        clients.push(client);
+        std::thread::sleep(CONNECT_INTERVAL);
+    }
+    for client in &mut clients {
+        let response = client.expect_response();
+        // That many at once may be more than the one endpoint is sent.
+        assert!(matches!(response.status(), 200 | 429), "{}", response.start_line);
+    }
+    assert!(gateway.wait().success());
+}
+
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest, however long the deadlines are. By then a request at a hung server has
 /// its response, whether it came before the signal or after.
 #[test]
