Record the end of a drain in the step that changes the soak's endpoint list

Cause: disturb_once recorded the end after publish had returned, and publish waits until the gateway has taken the list and watches on. What the gateway sent to the server that was ready again meanwhile counted against it. Change: publish_and records the end under the lock that changes the list, so no call can have been answered with it before. The bound is unchanged, the report is fuller.

--- a/crates/gateway/tests/loopback/rig/discovery_agent.rs
+++ b/crates/gateway/tests/loopback/rig/discovery_agent.rs
@@ -190,7 +190,14 @@
 
     /// Publishes changed endpoints as the next version and waits until the gateway watches from there.
     pub fn publish(&self, changed: Vec<Endpoint>) {
+        self.publish_and(changed, || {});
+    }
+
+    /// As [`DiscoveryAgent::publish`], and calls a function at the moment in which the list changes: before that no call
+    /// is answered with the new list.
+    pub fn publish_and(&self, changed: Vec<Endpoint>, record: impl FnOnce()) {
         let index = self.update(|state| {
+            record();
             state.index += 1;
             state.endpoints.retain(|endpoint| changed.iter().all(|change| change.name != endpoint.name));
             state.endpoints.extend(changed.iter().cloned());
--- a/crates/gateway/tests/loopback/soak/checks.rs
+++ b/crates/gateway/tests/loopback/soak/checks.rs
@@ -127,7 +127,11 @@
         let during_drain = drain.ended_at.is_none_or(|ended_at| receipt.first_byte_at < ended_at);
         (drain.server == receipt.server && late && during_drain).then(|| {
             let after = receipt.first_byte_at - notified_at;
-            format!("drain: {} forwarded {after:?} after", receipt.request_id)
+            let before_end = drain.ended_at.map(|ended_at| ended_at - receipt.first_byte_at);
+            format!(
+                "drain: {} forwarded {after:?} after and {before_end:?} before the end",
+                receipt.request_id
+            )
         })
     };
     record.drains.lock().unwrap().iter().filter_map(violation).collect()
--- a/crates/gateway/tests/loopback/soak/mod.rs
+++ b/crates/gateway/tests/loopback/soak/mod.rs
@@ -126,8 +126,7 @@
                 agent.publish(vec![endpoint.with_status(EndpointStatus::Draining)]);
             }
             2 => {
-                agent.publish(vec![endpoint]);
-                self.record.drain_ended(number);
+                agent.publish_and(vec![endpoint], || self.record.drain_ended(number));
             }
             3 => agent.inject(WatchFault::Unanswered),
             4 => agent.inject(WatchFault::CloseConnection),
