Count a request's time from its arrival at the machine, not from its reading

Cause: the gateway counted a request's time from when it had read it. Requests in the listen queue behind a crowd, or at a process that waits, are older. A process paused for 0.7 s forwards 1,895 ms of 1,900 on an open connection, too. Change: once a request is complete, TCP_INFO gives the time since its connection's newest data, less 10 ms for the system's tick. RequestArrival has it as its age; the core takes it off the deadline and counts the objective from the arrival, the driver takes it off its own deadline. What the client announced stays, as retries are told by it.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -31,18 +31,19 @@
             return;
         }
         let margin = MARGIN_BATCHES * self.settings.batch_interval;
-        if !self.is_valid(arrival) || arrival.client_timeout <= margin {
+        let time_left = arrival.client_timeout.saturating_sub(arrival.age);
+        if !self.is_valid(arrival) || time_left <= margin {
             return actions.push(Action::Reject { id: arrival.id, retry_after: None });
         }
         let gateway_count = arrival.customer_gateway_count;
         self.ensure_customer(now, arrival.customer, arrival.plan, gateway_count, arrival.first_gateway);
-        let latest = now.saturating_add(arrival.client_timeout - margin);
+        let latest = now.saturating_add(time_left - margin);
         let request = Request {
             class: arrival.class,
             plan: arrival.plan,
             customer: arrival.customer,
             units: arrival.units,
-            arrived_at: now,
+            arrived_at: now.saturating_sub(arrival.age),
             elapsed_before_arrival: self.elapsed_before_arrival(arrival),
             deadline: latest.min(self.shutdown_deadline),
             body_incomplete: arrival.body_incomplete,
--- a/crates/core/src/api/events.rs
+++ b/crates/core/src/api/events.rs
@@ -56,6 +56,8 @@
     pub customer: CustomerId,
     /// How long the client waits for the answer to this request.
     pub client_timeout: Micros,
+    /// How much of that time has passed: how long ago the last byte of the request reached this machine.
+    pub age: Micros,
     /// Units of quota it uses.
     pub units: f64,
     /// How many gateways serve the customer.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 //!     plan: 0,
 //!     customer: CustomerId(9),
 //!     client_timeout: 2_000_000,
+//!     age: 0,
 //!     units: 1.0,
 //!     customer_gateway_count: 1,
 //!     first_gateway: 0,
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -31,7 +31,7 @@
     pub customer: CustomerId,
     /// Units of quota that it uses.
     pub units: f64,
-    /// When it arrived, or when the last of a long body did.
+    /// When it reached this machine, or when the last of a long body did.
     pub arrived_at: Micros,
     /// Time that the client has spent on earlier tries of the same request.
     pub elapsed_before_arrival: Micros,
--- a/crates/core/tests/common/events.rs
+++ b/crates/core/tests/common/events.rs
@@ -14,6 +14,7 @@
         plan: 0,
         customer: CustomerId(customer),
         client_timeout: 2 * SECOND,
+        age: 0,
         units: 1.0,
         customer_gateway_count: 2,
         first_gateway: 0,
--- a/crates/core/tests/final_answers.rs
+++ b/crates/core/tests/final_answers.rs
@@ -158,3 +158,26 @@
     gateway.now += MILLISECOND;
     assert!(is_rejected(&gateway.request(4).1), "no time is left for another request");
 }
+
+/// Guards against time that a request waited before it was read: it is answered in what is left.
+#[test]
+fn age_of_a_request_shortens_its_time() {
+    let mut gateway = TestGateway::new(settings(), &[endpoint(1, 0)]);
+    let arrived_at = gateway.now;
+    let actions =
+        gateway.handle(Event::RequestArrived(RequestArrival { age: 1_200 * MILLISECOND, ..arrival(900, 5) }));
+    assert_eq!(forwarded_to(&actions), Some(ServerId(1)));
+    let done = gateway.run_until(arrived_at + 2 * SECOND);
+    let answers = rejections(&done);
+    assert_eq!(answers.len(), 1);
+    assert!((780 * MILLISECOND..=800 * MILLISECOND).contains(&(answers[0].at - arrived_at)));
+}
+
+#[test]
+fn request_older_than_its_client_timeout_is_rejected_unsent() {
+    let mut gateway = TestGateway::new(settings(), &[endpoint(1, 0)]);
+    for (id, age) in [(900, 2 * SECOND), (901, 3 * SECOND)] {
+        let actions = gateway.handle(Event::RequestArrived(RequestArrival { age, ..arrival(id, 5) }));
+        assert!(is_rejected(&actions) && forwarded_to(&actions).is_none(), "{actions:?}");
+    }
+}
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -4,6 +4,7 @@
 use crate::clients::head_scanner::{Framing, HeadScanner};
 use crate::clients::linger;
 use crate::network::socket::Socket;
+use crate::network::tcp_info::time_since_last_data;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -12,7 +13,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -118,6 +119,15 @@
         self.request_began_at.set(if is_between_requests { None } else { Some(Instant::now()) });
     }
 
+    /// How long ago at least the newest byte of the client reached this machine: the age of a request once it is
+    /// complete, wherever it waited. A pipelined request may lie before that byte and be older. 0 where the system
+    /// does not tell.
+    pub fn newest_byte_age(&self) -> Duration {
+        let input = self.input.borrow();
+        let age = input.socket.as_ref().map(|socket| time_since_last_data(socket.get_ref()));
+        age.and_then(Result::ok).unwrap_or_default()
+    }
+
     /// Whether bytes have arrived that hyper has not read.
     pub fn has_unread_input(&self) -> bool {
         let input = self.input.borrow();
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -8,24 +8,28 @@
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId};
 use hyper::header::HeaderValue;
 use std::rc::Rc;
+use std::time::Duration;
 
 impl DecisionDriver {
-    /// Enters a client's request. `None` while another one with the same client's id is pending.
+    /// Enters a client's request that reached this machine some time ago. `None` while another one with the same
+    /// client's id is pending.
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: HeaderValue,
         head: RequestHead,
+        age: Duration,
         outgoing: OutgoingRequest,
     ) -> Option<SubmittedRequest> {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        let deadline = now + head.client_timeout;
+        let age = age.as_micros() as Micros;
+        let deadline = now + head.client_timeout.saturating_sub(age);
         let window = head.deduplication_window;
         let OpenedRequest { id, answer } =
             state.requests.open(client_request_id, outgoing, deadline, window)?;
         self.arm(&mut state, deadline, DueTimer::RequestDeadline(id));
         let body_incomplete = self.watch_body(&state, id, head.client_timeout);
-        state.events.push_back(Event::RequestArrived(head.arrival(id, body_incomplete)));
+        state.events.push_back(Event::RequestArrived(head.arrival(id, age, body_incomplete)));
         // The decision core must see the same time as the deadline timer was computed from: on a busy machine a
         // second reading of the clock can be late by more than the core's margin, and the deadline would then
         // come first.
--- a/crates/gateway/src/driver/request.rs
+++ b/crates/gateway/src/driver/request.rs
@@ -41,14 +41,15 @@
 }
 
 impl RequestHead {
-    /// The event that reports the request to the decision core.
-    pub fn arrival(&self, id: RequestId, body_incomplete: bool) -> RequestArrival {
+    /// The event that reports the request, which reached this machine some time ago, to the decision core.
+    pub fn arrival(&self, id: RequestId, age: Micros, body_incomplete: bool) -> RequestArrival {
         RequestArrival {
             id,
             class: self.class,
             plan: self.plan,
             customer: self.customer,
             client_timeout: self.client_timeout,
+            age,
             units: self.units,
             customer_gateway_count: self.customer_gateway_count,
             first_gateway: self.first_gateway,
--- a/crates/gateway/src/network/mod.rs
+++ b/crates/gateway/src/network/mod.rs
@@ -5,3 +5,4 @@
 pub mod repeat_limiter;
 pub mod socket;
 pub mod system_error;
+pub mod tcp_info;
--- /dev/null
+++ b/crates/gateway/src/network/tcp_info/tests.rs
@@ -0,0 +1,36 @@
+use super::{time_since_last_data, MAX_TICK};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long the data of the test lies unread.
+const WAIT: Duration = Duration::from_millis(200);
+
+#[test]
+fn data_ages_before_accept_and_after_the_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let before_write = Instant::now();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    client.write_all(b"request").unwrap();
+    let after_write = Instant::now();
+    sleep(WAIT);
+    let (mut accepted, _) = listener.accept().unwrap();
+    accepted.read_exact(&mut [0; 7]).unwrap();
+    let at_least = after_write.elapsed();
+    let age = time_since_last_data(&accepted).unwrap();
+    assert!(age + 2 * MAX_TICK >= at_least, "{age:?}, {at_least:?}");
+    assert!(age <= before_write.elapsed(), "{age:?}");
+}
+
+#[test]
+fn fresh_data_has_no_age() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (accepted, _) = listener.accept().unwrap();
+    sleep(WAIT);
+    let before_write = Instant::now();
+    client.write_all(b"request").unwrap();
+    let age = time_since_last_data(&accepted).unwrap();
+    assert!(age <= before_write.elapsed(), "{age:?}");
+}
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod discovery;
 mod faults;
+mod late_reads;
 mod lifecycle;
 mod ops;
 mod rig;
--- a/crates/scale-laboratory/src/settings.rs
+++ b/crates/scale-laboratory/src/settings.rs
@@ -44,6 +44,7 @@
         plan: 0,
         customer,
         client_timeout: DEADLINE,
+        age: 0,
         units: 1.0,
         customer_gateway_count: 1,
         first_gateway: 0,
--- a/crates/simulator-adapter/src/events.rs
+++ b/crates/simulator-adapter/src/events.rs
@@ -103,6 +103,7 @@
         plan: row.unsigned_or_zero("tier")? as usize,
         customer: CustomerId(u64::from_str_radix(customer, 16).unwrap_or_else(|_| hash(customer))),
         client_timeout: row.unsigned_or_zero("graceUs")?,
+        age: 0,
         units: row.number("units")?,
         customer_gateway_count: row.unsigned_or_zero("setSize")? as usize,
         first_gateway: row.unsigned_or_zero("firstDoor")? as usize,
