Count the time of a long body from the arrival of its last byte, too

Callers saw: a client whose long body lay unread at its end got its answer as much too late: 2.9 s after its last byte in place of 1.9 s with a process paused for 1 s and a server that does not answer. Cause: the twin of the late read: body_complete counted the time from when the last byte had been forwarded, however long it had waited before. Change: the driver asks the connection for the age of its newest byte at that point as well; BodyComplete carries it to the core.

--- a/crates/core/src/api/events.rs
+++ b/crates/core/src/api/events.rs
@@ -122,10 +122,12 @@
         id: RequestId,
     },
     /// The rest of the request's body came and was forwarded to the attempt in flight; its time counts from
-    /// now.
+    /// when that came.
     BodyComplete {
         /// The request.
         id: RequestId,
+        /// How long ago the last byte of the body reached this machine.
+        age: Micros,
     },
     /// Part of the request's body was forwarded and is not buffered: no further attempt can be sent.
     BodyConsumed {
--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -176,15 +176,21 @@
     }
 
     /// Handles the end of a long body: only now does its server begin work, and its time
-    /// begin.
-    pub(crate) fn body_completed(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+    /// begin, when the last of the body reached this machine.
+    pub(crate) fn body_completed(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        age: Micros,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.requests.get_mut(&id).filter(|request| request.body_incomplete) else {
             return;
         };
         request.body_incomplete = false;
         let client_timeout = request.deadline - request.arrived_at;
-        request.arrived_at = now;
-        request.deadline = (now + client_timeout).min(self.shutdown_deadline);
+        request.arrived_at = now.saturating_sub(age);
+        request.deadline = (request.arrived_at + client_timeout).min(self.shutdown_deadline);
         actions.push(Action::Timer { at: request.deadline, timer: Timer::RequestDeadline(id).into() });
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
             attempt.sent_at = now;
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -111,7 +111,7 @@
                 self.update_endpoints(now, watch_event, endpoints, actions);
             }
             Event::RequestArrived(arrival) => self.receive_request(now, &arrival, actions),
-            Event::BodyComplete { id } => self.body_completed(now, id, actions),
+            Event::BodyComplete { id, age } => self.body_completed(now, id, age, actions),
             Event::BodyConsumed { id } => self.update_request(id, |request| request.body_consumed = true),
             Event::ResponseStarted { id } => {
                 self.update_request(id, |request| request.response_started = true);
--- a/crates/core/tests/final_answers.rs
+++ b/crates/core/tests/final_answers.rs
@@ -123,7 +123,7 @@
     assert_eq!(forwarded_to(&actions), Some(ServerId(1)));
     let done = gateway.run_until(gateway.now + 3 * SECOND);
     assert!(rejections(&done).is_empty());
-    gateway.handle(Event::BodyComplete { id });
+    gateway.handle(Event::BodyComplete { id, age: 0 });
     let completed_at = gateway.now;
     let done = gateway.run_until(completed_at + SECOND);
     let answers = rejections(&done);
@@ -131,6 +131,22 @@
     assert!((280 * MILLISECOND..=300 * MILLISECOND).contains(&(answers[0].at - completed_at)));
 }
 
+/// Guards against time that the last of a long body waited before it was forwarded.
+#[test]
+fn age_of_a_long_body_shortens_its_time() {
+    let mut gateway = TestGateway::new(settings(), &[endpoint(1, 0)]);
+    let request = RequestArrival { body_incomplete: true, ..arrival(900, 5) };
+    let id = request.id;
+    gateway.handle(Event::RequestArrived(request));
+    gateway.run_until(gateway.now + SECOND);
+    let completed_at = gateway.now;
+    gateway.handle(Event::BodyComplete { id, age: 1_200 * MILLISECOND });
+    let done = gateway.run_until(completed_at + 2 * SECOND);
+    let answers = rejections(&done);
+    assert_eq!(answers.len(), 1);
+    assert!((780 * MILLISECOND..=800 * MILLISECOND).contains(&(answers[0].at - completed_at)));
+}
+
 /// Requests that arrive after the shutdown event are answered by the deadline too.
 #[test]
 fn every_open_request_is_answered_by_the_shutdown_deadline() {
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -23,7 +23,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::{oneshot, Semaphore};
 use tokio::time::timeout_at;
 
@@ -139,8 +138,9 @@
         if (outgoing.client_has_disconnected)() {
             return Err(RequestError::ClientDisconnected);
         }
-        let age = if body.is_read_to_end() { client.stream.newest_byte_age() } else { Duration::ZERO };
-        let submitted = self.driver.submit(request_id, request_head, age, outgoing);
+        let stream = client.stream.clone();
+        let newest_byte_age = move || stream.newest_byte_age();
+        let submitted = self.driver.submit(request_id, request_head, outgoing, newest_byte_age);
         let SubmittedRequest { id, answer, counter } = submitted.ok_or(RequestError::DuplicateId)?;
         client.begin_request();
         let answer = self.wait_for_answer(client, id, &body, answer).await;
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -11,24 +11,25 @@
 use std::time::Duration;
 
 impl DecisionDriver {
-    /// Enters a client's request that reached this machine some time ago. `None` while another one with the same
-    /// client's id is pending.
+    /// Enters a client's request; its time counts from when its last byte reached this machine, which is asked of
+    /// the connection once that byte has been read. `None` while another one with the same client's id is pending.
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: HeaderValue,
         head: RequestHead,
-        age: Duration,
         outgoing: OutgoingRequest,
+        newest_byte_age: impl Fn() -> Duration + 'static,
     ) -> Option<SubmittedRequest> {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        let age = age.as_micros() as Micros;
+        let is_complete = outgoing.body.is_read_to_end();
+        let age = if is_complete { newest_byte_age().as_micros() as Micros } else { 0 };
         let deadline = now + head.client_timeout.saturating_sub(age);
         let window = head.deduplication_window;
         let OpenedRequest { id, answer } =
             state.requests.open(client_request_id, outgoing, deadline, window)?;
         self.arm(&mut state, deadline, DueTimer::RequestDeadline(id));
-        let body_incomplete = self.watch_body(&state, id, head.client_timeout);
+        let body_incomplete = self.watch_body(&state, id, head.client_timeout, newest_byte_age);
         state.events.push_back(Event::RequestArrived(head.arrival(id, age, body_incomplete)));
         // The decision core must see the same time as the deadline timer was computed from: on a busy machine a
         // second reading of the clock can be late by more than the core's margin, and the deadline would then
@@ -39,23 +40,33 @@
 
     /// Has [`DecisionDriver::body_complete`] called once all of a request's body is forwarded. Returns whether
     /// part of it is still to come.
-    fn watch_body(self: &Rc<Self>, state: &DriverState, id: RequestId, client_timeout: Micros) -> bool {
+    fn watch_body(
+        self: &Rc<Self>,
+        state: &DriverState,
+        id: RequestId,
+        client_timeout: Micros,
+        newest_byte_age: impl Fn() -> Duration + 'static,
+    ) -> bool {
         let Some(request) = state.requests.get(id) else { return false };
         let driver = self.clone();
-        request.outgoing.body.on_forwarded(move || driver.body_complete(id, client_timeout))
+        request
+            .outgoing
+            .body
+            .on_forwarded(move || driver.body_complete(id, client_timeout, newest_byte_age()))
     }
 
-    /// The last of a long body was forwarded: the request's time starts now.
-    fn body_complete(self: &Rc<Self>, id: RequestId, client_timeout: Micros) {
+    /// The last of a long body was forwarded: the request's time starts when that reached this machine.
+    fn body_complete(self: &Rc<Self>, id: RequestId, client_timeout: Micros, age: Duration) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
-        let deadline = now + client_timeout;
         let Some(request) = state.requests.get_mut(id) else { return };
+        let age = age.as_micros() as Micros;
+        let deadline = now + client_timeout.saturating_sub(age);
         if let Some(attempt) = request.restart(now, deadline) {
             self.arm(&mut state, deadline, DueTimer::AttemptTimeout { id, attempt });
         }
         self.arm(&mut state, deadline, DueTimer::RequestDeadline(id));
-        state.events.push_back(Event::BodyComplete { id });
+        state.events.push_back(Event::BodyComplete { id, age });
         self.process_events_from(&mut state, now);
     }
 
--- a/crates/gateway/tests/loopback/late_reads.rs
+++ b/crates/gateway/tests/loopback/late_reads.rs
@@ -1,12 +1,20 @@
 //! Requests that the gateway reads some time after they arrived: that time is the client's.
 
+use crate::rig::deployment::Deployment;
 use crate::rig::gateway_process::GatewayProcess;
-use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout, HEALTH_CHECK};
+use crate::rig::message::read_head;
+use crate::rig::request::{
+    idempotent_request, non_idempotent_request, with_client_timeout, with_framing, HEALTH_CHECK,
+};
 use crate::rig::server::Server;
+use std::io::Read;
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 /// By how much the time forwarded to a server may exceed what is left to the client.
 const FORWARDED_TIMEOUT_SLACK: Duration = Duration::from_millis(150);
+/// How late after its client's timeout an answer may come.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
 /// Guards against time that a request waits before the gateway reads it: on a connection that is not accepted yet, and on one
 /// that is open.
@@ -48,3 +56,29 @@
     assert_eq!(client.expect_response().status(), 429);
     assert!(server.unread_requests().is_empty());
 }
+
+/// Guards against time that the last of a long body waits before it is read: its server never answers, and the client gets its
+/// answer in time.
+#[test]
+fn time_before_the_last_of_a_long_body_is_read_counts_against_its_client_timeout() {
+    let timeout = Duration::from_millis(1_900);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gateway = Deployment::with_endpoint(listener.local_addr().unwrap()).start();
+    let body = vec![b'x'; 100 << 10];
+    let (first, last) = body.split_at(90 << 10);
+    let mut client = gateway.connect();
+    client.write(&with_framing(&non_idempotent_request(""), &format!("Content-Length: {}", body.len())));
+    client.write_bytes(first);
+    let mut server = listener.accept().unwrap().0;
+    read_head(&mut server);
+    server.read_exact(&mut vec![0; first.len()]).unwrap();
+    gateway.pause();
+    client.write_bytes(last);
+    let written_at = Instant::now();
+    std::thread::sleep(Duration::from_millis(1_000));
+    gateway.resume();
+    server.read_exact(&mut vec![0; last.len()]).unwrap();
+    assert_eq!(client.expect_response().status(), 502);
+    let elapsed = written_at.elapsed();
+    assert!(elapsed <= timeout + ANSWER_SLACK, "{elapsed:?}");
+}
