Drop a listener that was handed over as soon as the shutdown begins

No report of it; found while looking for the closing listener's fault elsewhere. Cause: the old process of a hand-over, which no longer accepts, kept the listener until its exit, up to 3.5 s after SIGTERM; if the new one ended before, its queue went on taking connections. The other way round, the old process accepts again once the connection to the new one ends, and that stayed open until the new one had answered its last request. Change: a process that has handed over drops the listener at SIGTERM.

--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -57,7 +57,10 @@
     ) {
         driver.shut_down_by(self.answers_by());
         clients.stop();
-        if !serving_end.is_handed_over {
+        if serving_end.is_handed_over {
+            // Its queue stays open for as long as any process has the listener, and the successor may end first.
+            drop(listener);
+        } else {
             self.accept_late(clients, listener).await;
         }
         self.drain_clients(clients).await;
--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -30,12 +30,13 @@
 pub struct ClientListener {
     /// The listener.
     pub listener: TcpListener,
-    /// The connection to the process that handed the listener over; it must stay open for as long as this one lives.
+    /// The connection to the process that handed the listener over, which accepts again once this is closed. It closes
+    /// with the listener.
     pub predecessor: Option<ControlConnection>,
 }
 
 impl ClientListener {
-    /// Whether the process that handed the listener over still has it, and accepts clients again if this one ends.
+    /// Whether the process that handed the listener over still has it, and accepts again once this one closes it.
     pub fn is_shared(&self) -> bool {
         self.predecessor.as_ref().is_some_and(takeover::is_connected)
     }
--- a/crates/gateway/tests/loopback/takeover.rs
+++ b/crates/gateway/tests/loopback/takeover.rs
@@ -4,12 +4,12 @@
 //! that the decision core writes (its `handover` module), whose first line is its version, `grebehook-2`. Both
 //! processes of these tests are of the same build.
 
-use crate::rig::client::operator_get;
+use crate::rig::client::{operator_get, Client};
 use crate::rig::deployment::Deployment;
 use crate::rig::files::{write_config, TemporaryFolder};
 use crate::rig::gateway_process::GatewayProcess;
 use crate::rig::launch::send_signal;
-use crate::rig::request::{idempotent_request, non_idempotent_request};
+use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout};
 use crate::rig::server::{Reply, Server};
 use std::io::Read;
 use std::os::unix::net::UnixListener;
@@ -88,6 +88,51 @@
     assert_eq!(next.connect().call(&idempotent_request()).status(), 200);
 }
 
+/// Guards against clients that wait in the queue of a listener that nobody accepts from while a successor that got SIGTERM
+/// answers its open requests.
+#[test]
+fn predecessor_resumes_while_its_successor_shuts_down() {
+    let server = Server::start(|n| if n == 0 { Reply::Hang } else { Reply::ok("done") });
+    let folder = TemporaryFolder::create();
+    let Predecessor { process: old, successor } =
+        Predecessor::start(Deployment::with_server(&server), &folder);
+    let new = successor.start();
+    let mut busy = new.connect();
+    busy.write(&non_idempotent_request("in flight"));
+    server.next_request();
+    new.terminate();
+    while !new.has_exited() {
+        let connecting_at = Instant::now();
+        let response = old.connect().call(&with_client_timeout(&idempotent_request(), 300));
+        assert_eq!(response.status(), 200);
+        let elapsed = connecting_at.elapsed();
+        assert!(elapsed < Duration::from_millis(800), "{elapsed:?}");
+    }
+    assert!(new.wait().success());
+    assert_eq!(old.connect().call(&idempotent_request()).status(), 200);
+}
+
+/// Guards against clients that connect to the listener of a process that has handed it over and is shutting down.
+#[test]
+fn listener_closes_with_the_successor_while_the_predecessor_shuts_down() {
+    let server = Server::start(|n| if n == 0 { Reply::Hang } else { Reply::ok("done") });
+    let folder = TemporaryFolder::create();
+    let deployment = Deployment::with_server(&server).all_deadlines_us(20_000_000);
+    let Predecessor { process: old, successor } = Predecessor::start(deployment, &folder);
+    let mut busy = old.connect();
+    busy.write(&with_client_timeout(&idempotent_request(), 20_000));
+    server.next_request();
+    let new = successor.start();
+    old.terminate();
+    new.terminate();
+    let address = new.address;
+    assert!(new.wait().success());
+    assert!(Client::connect(address).is_err(), "nobody answers this client");
+    assert!(!old.has_exited(), "refused only once the predecessor had exited");
+    assert_eq!(busy.expect_response().status(), 429);
+    assert!(old.wait().success());
+}
+
 /// The successor reads from the `grebehook-2` text what its customers have used of their quota.
 #[test]
 fn quota_usage_is_handed_over_to_the_successor() {
