Look at the client and the clock just before the first byte of an attempt

Cause: Upstream::exchange looked before it handed the request to hyper, whose task writes it some turns later. Change: ServerConnectionIo::poll_write looks just before the first byte; the connection closes unwritten, the attempt ends as not sent, and its server is not blamed. Upload::is_read_to_end took a long body that an attempt holds for one that was read; the new look would have read it away.

--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -16,6 +16,8 @@
 pub struct Upload {
     /// What was read before the first attempt.
     buffered: Bytes,
+    /// Whether the client had more to send when the beginning was read.
+    is_long: bool,
     /// What the client is still sending; an attempt takes it, and returns it if it has forwarded none of it.
     remainder: RefCell<Option<Incoming>>,
     /// The length of the body, where it is known.
@@ -48,9 +50,11 @@
         length: Option<u64>,
         body_memory: Option<OwnedSemaphorePermit>,
     ) -> Upload {
-        let length = if body.remainder.is_some() { length } else { Some(body.buffered.len() as u64) };
+        let is_long = body.remainder.is_some();
+        let length = if is_long { length } else { Some(body.buffered.len() as u64) };
         Upload {
             buffered: body.buffered,
+            is_long,
             remainder: RefCell::new(body.remainder),
             length,
             state: Cell::new(UploadState::Available),
@@ -81,11 +85,10 @@
 
     /// Calls back once all of a long body has been forwarded. False, without a call, where the body is buffered.
     pub fn on_forwarded(&self, callback: impl FnOnce() + 'static) -> bool {
-        let is_long = self.remainder.borrow().is_some();
-        if is_long {
+        if self.is_long {
             self.on_forwarded.replace(Some(Box::new(callback)));
         }
-        is_long
+        self.is_long
     }
 
     /// Whether part of it has yet to be forwarded, and may be.
@@ -95,8 +98,11 @@
 
     /// Whether the client's connection has been read to the end of the body.
     pub fn is_read_to_end(&self) -> bool {
-        let is_intact = matches!(self.state.get(), UploadState::Available | UploadState::Forwarded);
-        self.remainder.borrow().is_none() && is_intact
+        match self.state.get() {
+            UploadState::Available => !self.is_long,
+            UploadState::Forwarded => true,
+            UploadState::Forwarding | UploadState::Failed => false,
+        }
     }
 }
 
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -229,6 +229,6 @@
         uri,
         headers: end_to_end_headers,
         body,
-        client_has_disconnected: Box::new(client_has_disconnected),
+        client_has_disconnected: Rc::new(client_has_disconnected),
     }
 }
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -20,7 +20,7 @@
     /// The client's body.
     pub body: Rc<Upload>,
     /// Whether the client has disconnected, so that nothing more is sent.
-    pub client_has_disconnected: Box<dyn Fn() -> bool>,
+    pub client_has_disconnected: Rc<dyn Fn() -> bool>,
 }
 
 /// The time limits of an attempt.
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -40,12 +41,31 @@
     _open_guard: OpenConnectionGuard,
 }
 
+/// What has to hold just before the first byte of a request is written: the process may have waited for a core since
+/// its attempt was decided.
+#[derive(Clone)]
+pub struct WriteCondition {
+    /// The latest time of that write.
+    pub send_by: Instant,
+    /// Whether the request's client has disconnected, so that nothing may be written.
+    pub client_has_disconnected: Rc<dyn Fn() -> bool>,
+}
+
+impl WriteCondition {
+    /// Whether the request may be written now.
+    pub fn holds(&self) -> bool {
+        Instant::now() < self.send_by && !(self.client_has_disconnected)()
+    }
+}
+
 /// A connection; all its holders share the one socket, and any of them may close it.
 pub struct ServerConnection {
     /// The socket, until the connection is closed.
     socket: RefCell<Option<OpenSocket>>,
     /// The progress of the current request.
     progress: Cell<RequestProgress>,
+    /// What has to hold for the current request to be written, until its first byte is.
+    write_condition: RefCell<Option<WriteCondition>>,
     /// The counter to increment once the current request has been written, if any.
     written_counter: RefCell<Option<Rc<Cell<u64>>>>,
     /// Requests begun on the connection. What arrives before a later one is written is not its response.
@@ -59,6 +79,7 @@
         Rc::new(ServerConnection {
             socket: RefCell::new(Some(socket)),
             progress: Cell::default(),
+            write_condition: RefCell::default(),
             written_counter: RefCell::default(),
             requests_begun: Cell::new(0),
         })
@@ -70,6 +91,11 @@
         self.progress.set(RequestProgress::new(body_length));
     }
 
+    /// Sets what has to hold for the request that begins to be written. If it does not, the connection closes unwritten.
+    pub fn write_only_if(&self, condition: WriteCondition) {
+        self.write_condition.replace(Some(condition));
+    }
+
     /// Announces that all of the request's body has been handed to hyper.
     pub fn body_ended(&self) {
         self.update_progress(RequestProgress::record_body_end);
@@ -116,10 +142,20 @@
         self.requests_begun.get() > 1
     }
 
-    /// Closes the connection for input that belongs to no request.
-    fn reject_input<T>(&self) -> Poll<io::Result<T>> {
+    /// Whether nothing of the current request has been written, and nothing may be.
+    fn must_not_begin_writing(&self) -> bool {
+        if self.has_begun_writing() {
+            return false;
+        }
+        let is_forbidden = self.write_condition.borrow().as_ref().is_some_and(|condition| !condition.holds());
+        // The last chance to notice input that belongs to no request.
+        is_forbidden || self.is_reused() && !self.has_no_unread_input()
+    }
+
+    /// Closes the connection, for input that belongs to no request or a request that may not be written.
+    fn abort<T>(&self, reason: io::ErrorKind) -> Poll<io::Result<T>> {
         self.close();
-        Poll::Ready(Err(io::ErrorKind::InvalidData.into()))
+        Poll::Ready(Err(reason.into()))
     }
 
     /// Changes the progress of the current request.
@@ -131,6 +167,7 @@
 
     /// Records that these bytes of the request have been written, and counts it with its last byte.
     fn record_written(&self, data: &[u8]) {
+        self.write_condition.take();
         self.update_progress(|progress| progress.record_written(data));
         let counter = self.written_counter.borrow_mut().take_if(|_| self.request_written());
         if let Some(counter) = counter {
@@ -168,7 +205,7 @@
         let progress = connection.progress.get();
         let has_unrelated_input = connection.is_reused() && progress.has_premature_input();
         if has_unrelated_input || progress.response_head_is_too_long() {
-            return connection.reject_input();
+            return connection.abort(io::ErrorKind::InvalidData);
         }
         result
     }
@@ -177,10 +214,8 @@
 impl AsyncWrite for ServerConnectionIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         let connection = &self.0;
-        // The last chance to notice input that belongs to no request.
-        let is_first_write = connection.is_reused() && !connection.has_begun_writing();
-        if is_first_write && !connection.has_no_unread_input() {
-            return connection.reject_input();
+        if connection.must_not_begin_writing() {
+            return connection.abort(io::ErrorKind::ConnectionAborted);
         }
         let result = connection.poll_socket(|socket| socket.poll_write(cx, data));
         if let Poll::Ready(Ok(written)) = &result {
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -6,7 +6,7 @@
 use crate::bodies::upload::RequestBody;
 use crate::network::headers;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptResponse, OutgoingRequest};
-use crate::servers::connection::ServerConnection;
+use crate::servers::connection::{ServerConnection, WriteCondition};
 use crate::servers::pool::{Pool, PooledConnection};
 use bytes::Bytes;
 use grebehook_core::{AttemptStatus, ServerId};
@@ -42,8 +42,8 @@
     connection: &'a AttemptConnection,
     /// The request.
     request: &'a OutgoingRequest,
-    /// When it times out.
-    answer_by: Instant,
+    /// Its time limits.
+    times: AttemptDeadlines,
     /// Counts the attempts that have been written completely.
     written_counter: Option<&'a Rc<Cell<u64>>>,
 }
@@ -83,13 +83,13 @@
         times: AttemptDeadlines,
         written_counter: Option<&Rc<Cell<u64>>>,
     ) -> AttemptResponse {
-        let attempt = Attempt { server, connection, request, answer_by: times.answer_by, written_counter };
+        let attempt = Attempt { server, connection, request, times, written_counter };
         while let Some(idle) = self.pool.take_idle(server) {
             // A surplus response to the last request has arrived by then, and closed the connection.
             if let Some(delay) = idle.remaining_reuse_delay() {
                 sleep(delay).await;
             }
-            if Instant::now() >= times.send_by || (request.client_has_disconnected)() {
+            if !attempt.write_condition().holds() {
                 self.pool.restore(server, idle);
                 return AttemptResponse::without_response(AttemptStatus::NotSent);
             }
@@ -97,7 +97,7 @@
                 return response;
             }
         }
-        if (request.client_has_disconnected)() {
+        if !attempt.write_condition().holds() {
             return AttemptResponse::without_response(AttemptStatus::NotSent);
         }
         let connected = match timeout_at(times.send_by.into(), self.pool.connect(server)).await {
@@ -105,13 +105,16 @@
             Ok(Err(status)) => return AttemptResponse::without_response(status),
             Err(_) => return AttemptResponse::without_response(AttemptStatus::NotSent),
         };
-        if (request.client_has_disconnected)() {
+        if !attempt.write_condition().holds() {
             self.pool.restore(server, connected);
             return AttemptResponse::without_response(AttemptStatus::NotSent);
         }
         let response = self.send_over(connected, &attempt).await;
         response.unwrap_or_else(|ConnectionWasClosed| {
-            AttemptResponse::without_response(AttemptStatus::ConnectFailed)
+            // The gateway itself closes a connection to which it may no longer write.
+            let server_failed = attempt.write_condition().holds();
+            let status = if server_failed { AttemptStatus::ConnectFailed } else { AttemptStatus::NotSent };
+            AttemptResponse::without_response(status)
         })
     }
 
@@ -124,6 +127,7 @@
         let request = attempt.to_request(&pooled.connection);
         attempt.connection.set(Some(pooled.connection.clone()));
         pooled.connection.begin_request(attempt.request.body.length());
+        pooled.connection.write_only_if(attempt.write_condition());
         pooled.connection.count_written(attempt.written_counter);
         let Ok(response) = pooled.sender.try_send_request(request).await else {
             pooled.connection.close();
@@ -204,13 +208,21 @@
 }
 
 impl Attempt<'_> {
+    /// What has to hold for it to be sent.
+    fn write_condition(&self) -> WriteCondition {
+        WriteCondition {
+            send_by: self.times.send_by,
+            client_has_disconnected: self.request.client_has_disconnected.clone(),
+        }
+    }
+
     /// The request as it is written to a connection.
     fn to_request(&self, connection: &Rc<ServerConnection>) -> Request<RequestBody> {
         let mut request = Request::new(RequestBody::new(&self.request.body, connection.clone()));
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.uri.clone();
         *request.headers_mut() = self.request.headers.clone();
-        let remaining = self.answer_by.saturating_duration_since(Instant::now());
+        let remaining = self.times.answer_by.saturating_duration_since(Instant::now());
         let remaining_ms = HeaderValue::from(remaining.as_millis() as u64);
         request.headers_mut().insert(headers::TIME_BUDGET, remaining_ms);
         request
--- a/crates/gateway/src/servers/health_check.rs
+++ b/crates/gateway/src/servers/health_check.rs
@@ -33,7 +33,7 @@
             uri: Uri::from_static(path),
             headers: HeaderMap::from_iter([(HOST, HeaderValue::from_static("server"))]),
             body: Rc::new(Upload::empty()),
-            client_has_disconnected: Box::new(|| false),
+            client_has_disconnected: Rc::new(|| false),
         };
         let connection = AttemptConnection::default();
         let deadline = Instant::now() + limit;
