Let the soak draw waits for a core and late closes of the listener

Change: beside its other faults each seed draws late system calls (10 per mille of up to 60 ms, or 20 per mille of up to 30 ms) and a late close of the listener (20 ms), with a source of their own, so that all other draws of a seed stay as they were.

--- a/crates/gateway/tests/loopback/soak/plan.rs
+++ b/crates/gateway/tests/loopback/soak/plan.rs
@@ -31,6 +31,12 @@
     "wall_step_ms=300",
 ];
 
+/// Waits for a core before system calls, as `syscall_faults.c` describes them.
+const LATE_CALL_KINDS: [&str; 2] = ["preempt=10 preempt_ms=60", "preempt=20 preempt_ms=30"];
+/// A wait for a core before the listener closes.
+const LATE_CLOSE: &str = "preempt_listener_ms=20";
+/// Separates the draws of waits for a core from all others of a seed.
+const PREEMPTION_STREAM: u64 = 1 << 32;
 /// Faults that all seeds run under beside those that they draw.
 const COMMON_FAULTS: &str = "SOAK_FAULTS";
 
@@ -55,8 +61,10 @@
         let chosen: Vec<&str> = FAULT_KINDS.into_iter().filter(|_| rng.u8(..100) < FAULT_PERCENT).collect();
         let crowded = rng.u8(..100) < CROWD_PERCENT;
         let common = std::env::var(COMMON_FAULTS).unwrap_or_default();
+        let preemption = draw_preemption(seed);
+        let faults = format!("{common} {preemption} {} seed={seed}", chosen.join(" "));
         Plan {
-            faults: format!("{common} {} seed={seed}", chosen.join(" ")).trim_start().to_owned(),
+            faults: faults.trim_start().to_owned(),
             deadline: Duration::from_millis(rng.choice([100, 300, 800, 1_500]).unwrap()),
             descriptors: if crowded { 256 } else { 1_024 },
             idle_connections: if crowded { 300 } else { 0 },
@@ -90,6 +98,14 @@
     }
 }
 
+/// Draws how the process waits for a core.
+fn draw_preemption(seed: u64) -> String {
+    let mut rng = Rng::with_seed(PREEMPTION_STREAM | seed);
+    let late_calls = if rng.u8(..100) < FAULT_PERCENT { rng.choice(LATE_CALL_KINDS).unwrap() } else { "" };
+    let late_close = if rng.u8(..100) < FAULT_PERCENT { LATE_CLOSE } else { "" };
+    format!("{late_calls} {late_close} preempt_seed={seed}")
+}
+
 /// A duration in milliseconds.
 pub fn milliseconds(duration: Duration) -> u64 {
     duration.as_millis() as u64
