Close the control socket as soon as the shutdown begins

Callers saw: a process that was started while the old one was shutting down waited 1.5 s for a hand-over before it listened; the old listener closes 0.5 to 0.8 s after SIGTERM, so clients were refused in between. No report of it; found while looking for the closing listener's fault elsewhere. Cause: the control socket stayed open until the exit, and nobody accepted. Change: it closes at SIGTERM; a successor is refused there and listens beside the old process at once.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -118,9 +118,11 @@
         serve_operators(&name, ops, &clients, &driver).await?;
     }
 
-    let control_socket = control_socket.as_ref();
+    let stop = &mut signals.stop;
     let end =
-        serve_until_stopped(&clients, &driver, &listener.listener, control_socket, &mut signals.stop).await?;
+        serve_until_stopped(&clients, &driver, &listener.listener, control_socket.as_ref(), stop).await?;
+    // A successor that connects to it from now on would wait for a hand-over that does not come.
+    drop(control_socket);
     Shutdown::new(end.signalled_at, shutdown_limit).run(&clients, &driver, listener, &end).await;
     info!(gateway = %name, "stopped");
     Ok(())
--- a/crates/gateway/tests/loopback/takeover.rs
+++ b/crates/gateway/tests/loopback/takeover.rs
@@ -15,6 +15,9 @@
 use std::os::unix::net::UnixListener;
 use std::time::{Duration, Instant};
 
+/// How long a process waits for a hand-over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// A process that serves, and what its successor is started from.
 struct Predecessor {
     /// The process.
@@ -133,6 +136,26 @@
     assert!(old.wait().success());
 }
 
+/// Guards against a successor that waits for the hand-over of a process that is shutting down, while neither accepts clients.
+#[test]
+fn successor_does_not_wait_for_a_predecessor_that_shuts_down() {
+    let server = Server::start(|n| if n == 0 { Reply::Hang } else { Reply::ok("done") });
+    let folder = TemporaryFolder::create();
+    let deployment = Deployment::with_server(&server).all_deadlines_us(20_000_000);
+    let Predecessor { process: old, successor } = Predecessor::start(deployment, &folder);
+    let mut busy = old.connect();
+    busy.write(&with_client_timeout(&non_idempotent_request("in flight"), 20_000));
+    server.next_request();
+    old.terminate();
+    old.wait_for_log("no longer accepting clients");
+    let starting_at = Instant::now();
+    let new = successor.start();
+    let elapsed = starting_at.elapsed();
+    assert!(elapsed < HAND_OVER_TIMEOUT, "{elapsed:?}");
+    assert_eq!(new.connect().call(&idempotent_request()).status(), 200);
+    assert!(!old.has_exited());
+}
+
 /// The successor reads from the `grebehook-2` text what its customers have used of their quota.
 #[test]
 fn quota_usage_is_handed_over_to_the_successor() {
