Test the closing listener beside another one and without its packet filter

Cause: the filter had a test for a lone listener only. Change: a test with a second process at the same address, which gets the clients that the closing one refuses, and one in which the system refuses the filter (new fault kind `filter`); documents follow the mends.

--- a/crates/gateway/tests/loopback/lifecycle.rs
+++ b/crates/gateway/tests/loopback/lifecycle.rs
@@ -18,6 +18,15 @@
 /// The time between two clients that connect one after the other.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Checks that each of many clients gets its answer.
+fn expect_answers(clients: &mut [Client]) {
+    for client in clients {
+        let response = client.expect_response();
+        // That many at once may be more than the one endpoint is sent.
+        assert!(matches!(response.status(), 200 | 429), "{}", response.start_line);
+    }
+}
+
 /// The configuration is no JSON, lacks a part or holds an invalid value.
 #[test]
 fn malformed_configuration_exits_with_one_log_line() {
@@ -108,14 +117,41 @@
         clients.push(client);
         std::thread::sleep(CONNECT_INTERVAL);
     }
-    for client in &mut clients {
-        let response = client.expect_response();
-        // That many at once may be more than the one endpoint is sent.
-        assert!(matches!(response.status(), 200 | 429), "{}", response.start_line);
-    }
+    expect_answers(&mut clients);
     assert!(gateway.wait().success());
 }
 
+/// Guards against the same where another process listens at the same address: it gets the clients that one refuses.
+#[test]
+fn clients_are_answered_while_one_of_two_listeners_closes() {
+    let server = Server::healthy();
+    let closing = Deployment::with_server(&server).faults("preempt_listener_ms=100").start();
+    let other = Deployment::with_server(&server).listen(closing.address).start();
+    closing.terminate();
+    let mut clients = Vec::new();
+    while !closing.has_exited() {
+        let mut client = other.connect();
+        client.write(&idempotent_request());
+        clients.push(client);
+        std::thread::sleep(CONNECT_INTERVAL);
+    }
+    expect_answers(&mut clients);
+    assert!(closing.wait().success());
+}
+
+/// A system that refuses the packet filter: the listener closes without it.
+#[test]
+fn refused_packet_filter_is_logged_and_the_listener_closes() {
+    let server = Server::healthy();
+    let mut gateway = Deployment::with_server(&server).faults("filter=100").start();
+    gateway.terminate();
+    assert_eq!(gateway.connect().call(&idempotent_request()).status(), 200);
+    let log = gateway.log_until_exit();
+    for text in ["new connections cannot be refused", "no longer accepting clients", "stopped"] {
+        assert!(log.iter().any(|line| line.contains(text)), "{log:?}");
+    }
+}
+
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest, however long the deadlines are. By then a request at a hung server has
 /// its response, whether it came before the signal or after.
 #[test]
--- a/crates/gateway/tests/loopback/syscall_faults.c
+++ b/crates/gateway/tests/loopback/syscall_faults.c
@@ -7,6 +7,7 @@
 //   accept       for the connection or the network
 //   accept_full  for lack of descriptors or memory
 //   socket, bind, connect
+//   filter       a packet filter is refused, for lack of memory
 //   descriptor   epoll_create1, eventfd and socketpair, for lack of descriptors
 //   wait         epoll_wait is interrupted (EINTR)
 //   read, write  fewer bytes than asked for are transferred
@@ -167,6 +168,9 @@
   if (address->sa_family != AF_UNIX && fails("connect")) FAIL(EADDRNOTAVAIL, ENETUNREACH, ENOBUFS);
   note_opened(fd, address->sa_family != AF_UNIX);
   return real(fd, address, length); }
+int setsockopt(int fd, int level, int option, const void *value, socklen_t length) { REAL(setsockopt);
+  if (level == SOL_SOCKET && option == SO_ATTACH_FILTER && fails("filter")) FAIL(ENOMEM);
+  return real(fd, level, option, value, length); }
 int close(int fd) { REAL(close); preempt_close(fd); preempt(); return real(fd); }
 int shutdown(int fd, int how) { REAL(shutdown); preempt(); return real(fd, how); }
 int epoll_create1(int flags) { REAL(epoll_create1); if (fails("descriptor")) FAIL(ENFILE, EMFILE, ENOMEM); return real(flags); }
