Move hyper's side of a client's connection into a module of its own

Change: ClientStreamIo is in clients/stream/transport.rs, the listener's field is named socket. Nothing else changes.

--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -6,7 +6,7 @@
 use crate::clients::request_handler::RequestHandler;
 use crate::clients::request_head::RequestHeadReader;
 use crate::clients::response::{announce_close, ResponseBody};
-use crate::clients::stream::ClientStreamIo;
+use crate::clients::stream::transport::ClientStreamIo;
 use crate::driver::decision_driver::DecisionDriver;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -93,7 +93,7 @@
         loop {
             let until = self.accepts_until(clients.last_accepted_at());
             let remaining = until.saturating_duration_since(Instant::now());
-            let accepted = timeout(remaining, clients.accept(&listener.listener)).await;
+            let accepted = timeout(remaining, clients.accept(&listener.socket)).await;
             if accepted.is_err() && Instant::now() >= self.accepts_until(clients.last_accepted_at()) {
                 break;
             }
@@ -106,14 +106,14 @@
     /// meanwhile, one may end between the last `accept` and the close, and its client loses its request.
     async fn close_listener(&self, clients: &Rc<ClientServer>, listener: ClientListener) {
         let is_shared = listener.is_shared();
-        let Ok(listener) = listener.listener.into_std() else { return };
+        let Ok(socket) = listener.socket.into_std() else { return };
         if !is_shared {
-            match refuse_new_handshakes(&listener) {
+            match refuse_new_handshakes(&socket) {
                 Ok(()) => sleep(HANDSHAKE_TIME).await,
                 Err(error) => warn!(%error, "new connections cannot be refused while the listener closes"),
             }
         }
-        clients.accept_backlog(&listener, self.closes_idle_by()).await;
+        clients.accept_backlog(&socket, self.closes_idle_by()).await;
     }
 
     /// Closes idle connections and waits until no client is left, or the process has to exit.
--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -28,8 +28,8 @@
 
 /// Where clients connect.
 pub struct ClientListener {
-    /// The listener.
-    pub listener: TcpListener,
+    /// The listening socket.
+    pub socket: TcpListener,
     /// The connection to the process that handed the listener over, which accepts again once this is closed. It closes
     /// with the listener.
     pub predecessor: Option<ControlConnection>,
@@ -97,10 +97,10 @@
     };
     if let Some(Predecessor { listener, state, control_connection }) = predecessor {
         driver.take_over(&state);
-        return Ok(ClientListener { listener, predecessor: Some(control_connection) });
+        return Ok(ClientListener { socket: listener, predecessor: Some(control_connection) });
     }
-    let listener = retry_bind("clients", || async { listen(address) }).await?;
-    Ok(ClientListener { listener, predecessor: None })
+    let socket = retry_bind("clients", || async { listen(address) }).await?;
+    Ok(ClientListener { socket, predecessor: None })
 }
 
 /// Binds a listener for clients. A process that replaces this one may listen beside it at the same address.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -109,7 +109,7 @@
         // Nobody has been accepted yet, and a predecessor that was asked to hand over continues.
         _ = &mut signals.stop => return Ok(()),
     };
-    let address = listener.listener.local_addr().map_err(RunError::LocalAddress)?;
+    let address = listener.socket.local_addr().map_err(RunError::LocalAddress)?;
     let control_socket = takeover::listen_for_successor(address);
     spawn_local(Reload { path, discovery_agent, counter }.run(signals.reload));
     let clients = client_server(config, &resources, &driver);
@@ -119,8 +119,7 @@
     }
 
     let stop = &mut signals.stop;
-    let end =
-        serve_until_stopped(&clients, &driver, &listener.listener, control_socket.as_ref(), stop).await?;
+    let end = serve_until_stopped(&clients, &driver, &listener.socket, control_socket.as_ref(), stop).await?;
     // A successor that connects to it from now on would wait for a hand-over that does not come.
     drop(control_socket);
     Shutdown::new(end.signalled_at, shutdown_limit).run(&clients, &driver, listener, &end).await;
