Write no request whose forwarded time was taken long before

Callers saw: servers were told up to 0.22 s more than the client still waited, where the process waited for a core between taking that time and the write. Cause: the time is taken as the request is handed to hyper, whose task writes it some turns later. Change: the look before the first byte also refuses a time older than 50 ms; the attempt goes over another connection with a new time, or ends as not sent without blame on the server.

--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -9,10 +9,14 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// How old the time that a request tells its server may be as its first byte is written: together with a hold-up of the
+/// write itself less than the 0.15 s by which that time may exceed what its client has left.
+const MAX_PREPARED_AGE: Duration = Duration::from_millis(50);
+
 /// Counts a connection among the open ones until it is dropped.
 pub struct OpenConnectionGuard {
     /// The number of open connections.
@@ -47,6 +51,8 @@
 pub struct WriteCondition {
     /// The latest time of that write.
     pub send_by: Instant,
+    /// When the time that the request tells its server was taken.
+    pub prepared_at: Instant,
     /// Whether the request's client has disconnected, so that nothing may be written.
     pub client_has_disconnected: Rc<dyn Fn() -> bool>,
 }
@@ -54,7 +60,11 @@
 impl WriteCondition {
     /// Whether the request may be written now.
     pub fn holds(&self) -> bool {
-        Instant::now() < self.send_by && !(self.client_has_disconnected)()
+        if (self.client_has_disconnected)() {
+            return false;
+        }
+        let now = Instant::now();
+        now < self.send_by && now.duration_since(self.prepared_at) <= MAX_PREPARED_AGE
     }
 }
 
@@ -66,6 +76,8 @@
     progress: Cell<RequestProgress>,
     /// What has to hold for the current request to be written, until its first byte is.
     write_condition: RefCell<Option<WriteCondition>>,
+    /// Whether it closed because that did not hold.
+    has_refused_write: Cell<bool>,
     /// The counter to increment once the current request has been written, if any.
     written_counter: RefCell<Option<Rc<Cell<u64>>>>,
     /// Requests begun on the connection. What arrives before a later one is written is not its response.
@@ -80,6 +92,7 @@
             socket: RefCell::new(Some(socket)),
             progress: Cell::default(),
             write_condition: RefCell::default(),
+            has_refused_write: Cell::new(false),
             written_counter: RefCell::default(),
             requests_begun: Cell::new(0),
         })
@@ -142,14 +155,20 @@
         self.requests_begun.get() > 1
     }
 
+    /// Whether it closed unwritten because its request's [`WriteCondition`] did not hold.
+    pub fn has_refused_write(&self) -> bool {
+        self.has_refused_write.get()
+    }
+
     /// Whether nothing of the current request has been written, and nothing may be.
     fn must_not_begin_writing(&self) -> bool {
         if self.has_begun_writing() {
             return false;
         }
-        let is_forbidden = self.write_condition.borrow().as_ref().is_some_and(|condition| !condition.holds());
+        let condition = self.write_condition.borrow();
+        self.has_refused_write.set(condition.as_ref().is_some_and(|condition| !condition.holds()));
         // The last chance to notice input that belongs to no request.
-        is_forbidden || self.is_reused() && !self.has_no_unread_input()
+        self.has_refused_write() || self.is_reused() && !self.has_no_unread_input()
     }
 
     /// Closes the connection, for input that belongs to no request or a request that may not be written.
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -109,11 +109,11 @@
             self.pool.restore(server, connected);
             return AttemptResponse::without_response(AttemptStatus::NotSent);
         }
+        let connection = connected.connection.clone();
         let response = self.send_over(connected, &attempt).await;
         response.unwrap_or_else(|ConnectionWasClosed| {
-            // The gateway itself closes a connection to which it may no longer write.
-            let server_failed = attempt.write_condition().holds();
-            let status = if server_failed { AttemptStatus::ConnectFailed } else { AttemptStatus::NotSent };
+            let is_server_blamed = !connection.has_refused_write();
+            let status = if is_server_blamed { AttemptStatus::ConnectFailed } else { AttemptStatus::NotSent };
             AttemptResponse::without_response(status)
         })
     }
@@ -124,10 +124,11 @@
         mut pooled: PooledConnection,
         attempt: &Attempt<'_>,
     ) -> Result<AttemptResponse, ConnectionWasClosed> {
+        let write_condition = attempt.write_condition();
         let request = attempt.to_request(&pooled.connection);
         attempt.connection.set(Some(pooled.connection.clone()));
         pooled.connection.begin_request(attempt.request.body.length());
-        pooled.connection.write_only_if(attempt.write_condition());
+        pooled.connection.write_only_if(write_condition);
         pooled.connection.count_written(attempt.written_counter);
         let Ok(response) = pooled.sender.try_send_request(request).await else {
             pooled.connection.close();
@@ -212,6 +213,7 @@
     fn write_condition(&self) -> WriteCondition {
         WriteCondition {
             send_by: self.times.send_by,
+            prepared_at: Instant::now(),
             client_has_disconnected: self.request.client_has_disconnected.clone(),
         }
     }
--- a/crates/gateway/src/servers/exchange/tests.rs
+++ b/crates/gateway/src/servers/exchange/tests.rs
@@ -74,6 +74,25 @@
     });
 }
 
+/// Guards against a forwarded time that was taken long before the write, as the gateway waits for a core in between.
+#[test]
+fn nothing_is_written_with_a_forwarded_time_that_is_out_of_date() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let looks = Cell::new(0);
+        let waits_at_the_write = move || {
+            if looks.replace(looks.get() + 1) == 2 {
+                std::thread::sleep(Duration::from_millis(200));
+            }
+            false
+        };
+        let address = listener.local_addr().unwrap();
+        let attempt = exchange(address, 1, Instant::now() + MAX_TIME, waits_at_the_write);
+        let (response, received) = tokio::join!(attempt, received_by(&listener));
+        assert_eq!((received, response.status), (0, AttemptStatus::NotSent));
+    });
+}
+
 /// Guards against an attempt that is written after its deduplication window, as the gateway waits for a core just before.
 #[test]
 fn nothing_is_written_once_the_time_to_send_is_over() {
