Ask a socket for unread input in one place

Change: both call Socket::has_no_unread_input; the tests share slow_look. No behaviour, bound or assertion changes.

--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -38,7 +38,8 @@
 impl ClientListener {
     /// Whether the process that handed the listener over still has it, and accepts again once this one closes it.
     pub fn is_shared(&self) -> bool {
-        self.predecessor.as_ref().is_some_and(takeover::is_connected)
+        // Neither process sends anything after the state, so that only the end of the connection can be read.
+        self.predecessor.as_ref().is_some_and(ControlConnection::has_no_unread_input)
     }
 }
 
--- a/crates/gateway/src/lifecycle/takeover.rs
+++ b/crates/gateway/src/lifecycle/takeover.rs
@@ -125,13 +125,6 @@
     }
 }
 
-/// Whether the process at the other side has neither ended nor begun its shutdown. This asks the system: what the
-/// runtime knows is as old as its last poll for events. Neither side sends anything after the state.
-pub fn is_connected(connection: &ControlConnection) -> bool {
-    let peeked = socket2::SockRef::from(connection.get_ref()).peek(&mut [MaybeUninit::uninit()]);
-    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// Sends the listener and the state.
 async fn send_all(
     successor: &mut ControlConnection,
--- a/crates/gateway/src/network/socket.rs
+++ b/crates/gateway/src/network/socket.rs
@@ -7,6 +7,8 @@
 //! has reported that a call would block.
 
 use std::io;
+use std::mem::MaybeUninit;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -72,6 +74,15 @@
     }
 }
 
+impl<S: AsFd> Socket<S> {
+    /// Whether the stream is open and has no unread input. This asks the system: what the runtime knows of a socket is
+    /// as old as its last poll for events.
+    pub fn has_no_unread_input(&self) -> bool {
+        let peeked = socket2::SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
 impl<S: ReadyStream> AsyncRead for Socket<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -5,7 +5,6 @@
 use crate::servers::request_progress::RequestProgress;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -134,14 +133,9 @@
         self.progress.get().is_complete()
     }
 
-    /// Whether the connection is open and has no unread input. This asks the system: what the runtime knows of a
-    /// socket is as old as its last poll for events.
+    /// Whether the connection is open and has no unread input, by asking the system.
     pub fn has_no_unread_input(&self) -> bool {
-        let open_socket = self.socket.borrow();
-        let Some(open_socket) = &*open_socket else { return false };
-        let stream = socket2::SockRef::from(open_socket.socket.get_ref());
-        let peeked = stream.peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        self.socket.borrow().as_ref().is_some_and(|open_socket| open_socket.socket.has_no_unread_input())
     }
 
     /// Closes the connection now, not when some task is next polled: an abandoned attempt must be off the
--- a/crates/gateway/src/servers/exchange/tests.rs
+++ b/crates/gateway/src/servers/exchange/tests.rs
@@ -49,6 +49,18 @@
     stream.read(&mut [0; 64]).await.unwrap()
 }
 
+/// A client that never disconnects. The look at it with this number, counted from 0, takes this long, as if the process
+/// waited for a core.
+fn slow_look(number: u32, wait: Duration) -> impl Fn() -> bool {
+    let looks = Cell::new(0);
+    move || {
+        if looks.replace(looks.get() + 1) == number {
+            std::thread::sleep(wait);
+        }
+        false
+    }
+}
+
 /// A gateway without capacity for another connection has not found its server unreachable.
 #[test]
 fn attempt_is_not_sent_when_the_pool_is_full_and_the_server_is_not_blamed() {
@@ -79,13 +91,7 @@
 fn nothing_is_written_with_a_forwarded_time_that_is_out_of_date() {
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let looks = Cell::new(0);
-        let waits_at_the_write = move || {
-            if looks.replace(looks.get() + 1) == 2 {
-                std::thread::sleep(Duration::from_millis(200));
-            }
-            false
-        };
+        let waits_at_the_write = slow_look(2, Duration::from_millis(200));
         let address = listener.local_addr().unwrap();
         let attempt = exchange(address, 1, Instant::now() + MAX_TIME, waits_at_the_write);
         let (response, received) = tokio::join!(attempt, received_by(&listener));
@@ -98,13 +104,7 @@
 fn nothing_is_written_once_the_time_to_send_is_over() {
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let looks = Cell::new(0);
-        let waits_at_the_second_look = move || {
-            if looks.replace(looks.get() + 1) == 1 {
-                std::thread::sleep(Duration::from_millis(300));
-            }
-            false
-        };
+        let waits_at_the_second_look = slow_look(1, Duration::from_millis(300));
         let send_by = Instant::now() + Duration::from_millis(200);
         let address = listener.local_addr().unwrap();
         let attempt = exchange(address, 1, send_by, waits_at_the_second_look);
