Review case 3: let the server hang that the fourth request reaches

Change: the server that the fourth long request reaches hangs from then on. The bound and the rest of the check are as before.

--- a/review/standins/src/bin/hung_upload.rs
+++ b/review/standins/src/bin/hung_upload.rs
@@ -1,7 +1,9 @@
 //! Case: a request with a long body that a hung server takes only in part never gets its final answer.
 
 use review_standins::*;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +24,29 @@
 /// Length of a body, unless the gateway stops reading before.
 const BODY_BYTES: usize = 12 << 20;
 
+/// Number of the request, counted from 0 over all servers, in whose middle a server begins to hang.
+const HANGS_AT: usize = 3;
+
+/// Which server hangs.
+#[derive(Default)]
+struct Hang {
+    /// Requests that have reached a server.
+    requests: AtomicUsize,
+    /// The server that hangs.
+    server: Mutex<Option<String>>,
+}
+
+impl Hang {
+    /// Counts a request at a server, and returns whether that server hangs.
+    fn begins_or_goes_on(&self, name: &str) -> bool {
+        let mut server = self.server.lock().unwrap();
+        if self.requests.fetch_add(1, Ordering::SeqCst) == HANGS_AT && has_trouble() {
+            *server = Some(name.to_owned());
+        }
+        server.as_deref() == Some(name)
+    }
+}
+
 /// What became of a client's request.
 struct Outcome {
     /// Whether the gateway's machine has received all of it.
@@ -33,11 +58,11 @@
 fn main() {
     let record = Record::from_arguments();
     let folder = TempFolder::create();
-    let hangs = has_trouble();
+    let hang: Arc<Hang> = Arc::default();
     let entries: Vec<Entry> = (1..=SERVERS)
         .map(|number| {
             let name = format!("s{number}");
-            Entry::ready(&name, start_bulk_server(&name, &record, hangs && number == 1), "dc-cikarang")
+            Entry::ready(&name, start_bulk_server(&name, &record, &hang), "dc-cikarang")
         })
         .collect();
     let agent = Agent::start(&record, entries);
@@ -79,37 +104,38 @@
     finish(if lost > 0 { BROKEN } else { HELD });
 }
 
-/// Starts a server that reads requests whole and answers 200, or one that hangs: it accepts connections, reads
-/// the beginning of each request, and then nothing more.
-fn start_bulk_server(name: &str, record: &Record, hangs: bool) -> std::net::SocketAddr {
+/// Starts a server that reads requests whole and answers 200. The server that gets the head of the request number
+/// [`HANGS_AT`] of all servers hangs from then on: it accepts connections, reads the beginning of each request, and
+/// then nothing more.
+fn start_bulk_server(name: &str, record: &Record, hang: &Arc<Hang>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let (name, record) = (name.to_owned(), record.clone());
+    let (name, record, hang) = (name.to_owned(), record.clone(), hang.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (name, record) = (name.clone(), record.clone());
-            thread::spawn(move || {
-                let mut connection = Connection::new(stream);
-                if hangs {
-                    let Ok(head) = connection.read_head() else { return };
-                    record.line(format!("server {name} hangs in {}", head.header("x-call-id")));
-                    thread::sleep(Duration::from_secs(100));
-                    return;
-                }
-                while let Ok(request) = connection.read_message() {
-                    let (id, length) = (request.header("x-call-id"), request.body.len());
-                    record.line(format!("server {name} runs {id} with {length} bytes"));
-                    thread::sleep(ms(200));
-                    if connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").is_err() {
-                        return;
-                    }
-                }
-            });
+            let (name, record, hang) = (name.clone(), record.clone(), hang.clone());
+            thread::spawn(move || serve(Connection::new(stream), &name, &record, &hang));
         }
     });
     address
 }
 
+fn serve(mut connection: Connection, name: &str, record: &Record, hang: &Hang) {
+    while let Ok(head) = connection.read_head() {
+        let id = head.header("x-call-id");
+        if hang.begins_or_goes_on(name) {
+            record.line(format!("server {name} hangs in {id}"));
+            return thread::sleep(Duration::from_secs(100));
+        }
+        let Ok(body) = connection.read_body(&head) else { return };
+        record.line(format!("server {name} runs {id} with {} bytes", body.len()));
+        thread::sleep(ms(200));
+        if connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").is_err() {
+            return;
+        }
+    }
+}
+
 /// Sends a long request in chunks. The body ends early where the gateway reads no more of it.
 fn play_client(record: &Record, mut client: Connection, number: usize) -> Outcome {
     let id = format!("long-{number}");
