Let the request own its unread body, so that no attempt takes a missing part for the end

Cause: the part of the body that the client is still sending belonged to the RequestBody of the last attempt, which hyper's connection task owns. Closing the connection did not wake that task, which waits for the client's next data, so the next attempt found no unread part (RequestBody::new) and took that for the end (RequestBody::poll_remainder). With a Content-Length the attempts broke off instead.

Change: Upload owns the unread part and lends it to the newest attempt only; its state is one value, in which no part can be missing. The body of an attempt that has ended ends with an error. Closing a server's connection wakes the task that polls it. This works because an end of the body now follows from the client's end of it alone.

Measured: long_body_rejected_on_its_head_reaches_the_next_server_whole failed on the code before ("the body differs" or broken off), passes now; tests of the crate: 148 passed.

--- a/crates/gateway/src/bodies/error.rs
+++ b/crates/gateway/src/bodies/error.rs
@@ -14,4 +14,7 @@
     /// An earlier attempt has forwarded part of the body, which is not retained.
     #[error("body has already been forwarded by an earlier attempt")]
     AlreadyForwarded,
+    /// The attempt that sends the body has ended.
+    #[error("attempt that sends the body has ended")]
+    AttemptEnded,
 }
--- a/crates/gateway/src/bodies/stall.rs
+++ b/crates/gateway/src/bodies/stall.rs
@@ -25,11 +25,6 @@
         StallTimeoutBody { body, stall_timer: Box::pin(sleep(STALL_TIMEOUT)) }
     }
 
-    /// Returns the body without the timeout.
-    pub fn into_inner(self) -> Incoming {
-        self.body
-    }
-
     /// Polls for the next frame; `None` marks the end of the body.
     pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Frame<Bytes>>, BodyError>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -5,41 +5,46 @@
 use crate::bodies::stall::StallTimeoutBody;
 use crate::servers::connection::ServerConnection;
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::sync::OwnedSemaphorePermit;
 
-/// The body of a client's request. A completely buffered body can be sent any number of times, a streamed one
-/// only once.
+/// The body of a client's request, which owns the part that the client is still sending. A completely buffered
+/// body can be sent any number of times, a streamed one only once.
 pub struct Upload {
     /// The part read before the first attempt.
     buffered: Bytes,
-    /// Whether the body exceeds the buffer limit, so that the rest of it is forwarded as it arrives.
-    is_streamed: bool,
-    /// The part that the client is still sending. An attempt takes it, and returns it if it has forwarded
-    /// none of it.
-    remainder: RefCell<Option<Incoming>>,
+    /// The part that the client is still sending; present while `state` is `Unread` or `Forwarding`.
+    remainder: RefCell<Option<StallTimeoutBody>>,
     /// The length of the body, where it is known.
     length: Option<u64>,
     state: Cell<UploadState>,
+    /// The newest attempt, the only one that may read the remainder.
+    newest_attempt: Cell<AttemptNumber>,
     /// Called once all of a streamed body has been forwarded.
     on_forwarded: RefCell<Option<Box<dyn FnOnce()>>>,
     /// Reserved memory for request bodies.
     _body_memory: Option<OwnedSemaphorePermit>,
 }
 
-/// How much of a body has been forwarded.
+/// Number of an attempt among those that began to send the body.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+struct AttemptNumber(u32);
+
+/// How much of a body has been read and forwarded.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum UploadState {
-    /// All data received so far is still available.
-    Available,
-    /// Part of the body has been forwarded and is no longer available.
-    Forwarding,
-    /// The whole body has been forwarded.
-    Forwarded,
+    /// The whole body is buffered.
+    Buffered,
+    /// The body exceeds the buffer limit, and nothing after the buffered prefix has been read.
+    Unread,
+    /// This attempt has forwarded part of the remainder, which is no longer available to others.
+    Forwarding(AttemptNumber),
+    /// This attempt has forwarded the remainder to its end.
+    Forwarded(AttemptNumber),
     /// The client ended the body early, or stalled.
     Failed,
 }
@@ -53,12 +58,13 @@
     ) -> Upload {
         let is_streamed = body.remainder.is_some();
         let length = if is_streamed { length } else { Some(body.buffered.len() as u64) };
+        let state = if is_streamed { UploadState::Unread } else { UploadState::Buffered };
         Upload {
             buffered: body.buffered,
-            is_streamed,
-            remainder: RefCell::new(body.remainder),
+            remainder: RefCell::new(body.remainder.map(StallTimeoutBody::new)),
             length,
-            state: Cell::new(UploadState::Available),
+            state: Cell::new(state),
+            newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
             _body_memory: body_memory,
         }
@@ -76,7 +82,10 @@
 
     /// Returns whether the body can no longer be sent completely by a further attempt.
     pub fn is_consumed(&self) -> bool {
-        self.state.get() != UploadState::Available
+        match self.state.get() {
+            UploadState::Buffered | UploadState::Unread => false,
+            UploadState::Forwarding(_) | UploadState::Forwarded(_) | UploadState::Failed => true,
+        }
     }
 
     /// Returns whether the client ended the body early, or stalled.
@@ -87,10 +96,11 @@
     /// Registers a callback for when all of a streamed body has been forwarded. Returns false, and never
     /// calls it, if the body is completely buffered.
     pub fn on_forwarded(&self, callback: impl FnOnce() + 'static) -> bool {
-        if self.is_streamed {
+        let is_streamed = self.state.get() != UploadState::Buffered;
+        if is_streamed {
             self.on_forwarded.replace(Some(Box::new(callback)));
         }
-        self.is_streamed
+        is_streamed
     }
 
     /// Returns whether the body is streamed, has not been forwarded completely, and has not failed.
@@ -101,83 +111,123 @@
     /// Returns whether the client's connection has been read to the end of the body.
     pub fn is_read_to_end(&self) -> bool {
         match self.state.get() {
-            UploadState::Available => !self.is_streamed,
-            UploadState::Forwarded => true,
-            UploadState::Forwarding | UploadState::Failed => false,
+            UploadState::Buffered | UploadState::Forwarded(_) => true,
+            UploadState::Unread | UploadState::Forwarding(_) | UploadState::Failed => false,
+        }
+    }
+
+    /// Begins an attempt. Earlier attempts can no longer read the remainder.
+    fn begin_attempt(&self) -> AttemptNumber {
+        let AttemptNumber(previous) = self.newest_attempt.get();
+        let attempt = AttemptNumber(previous + 1);
+        self.newest_attempt.set(attempt);
+        attempt
+    }
+
+    /// Polls for the next data after the buffered prefix on behalf of an attempt; `None` marks the end of the
+    /// body.
+    fn poll_remainder(
+        &self,
+        attempt: AttemptNumber,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if attempt != self.newest_attempt.get() {
+            return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
+        }
+        match self.state.get() {
+            UploadState::Buffered => return Poll::Ready(None),
+            UploadState::Forwarded(by) if by == attempt => return Poll::Ready(None),
+            UploadState::Forwarding(by) if by == attempt => {}
+            UploadState::Unread => {}
+            UploadState::Forwarding(_) | UploadState::Forwarded(_) | UploadState::Failed => {
+                return Poll::Ready(Some(Err(BodyError::AlreadyForwarded)));
+            }
+        }
+        self.poll_client(attempt, cx)
+    }
+
+    /// Polls for the next data that the client sends, and records that this attempt forwards it.
+    fn poll_client(
+        &self,
+        attempt: AttemptNumber,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let mut guard = self.remainder.borrow_mut();
+        let Some(remainder) = guard.as_mut() else {
+            return Poll::Ready(Some(Err(BodyError::AlreadyForwarded)));
+        };
+        let data = loop {
+            match ready!(remainder.poll_frame(cx)) {
+                // Trailers are not forwarded.
+                Ok(Some(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        break Some(Ok(data));
+                    }
+                }
+                Ok(None) => break None,
+                Err(error) => break Some(Err(error)),
+            }
+        };
+        self.state.set(match &data {
+            // hyper stops reading at the announced length, so the last data frame must be recognized as the
+            // end.
+            Some(Ok(_)) if !remainder.is_end_stream() => UploadState::Forwarding(attempt),
+            Some(Ok(_)) | None => UploadState::Forwarded(attempt),
+            Some(Err(_)) => UploadState::Failed,
+        });
+        if self.state.get() != UploadState::Forwarding(attempt) {
+            guard.take();
+        }
+        Poll::Ready(data)
+    }
+
+    /// Calls the callback for the end of a streamed body, once.
+    fn notify_forwarded(&self) {
+        let on_forwarded = self.on_forwarded.borrow_mut().take();
+        if let Some(on_forwarded) = on_forwarded {
+            on_forwarded();
         }
     }
 }
 
-/// The body of one attempt, as hyper writes it to a server's connection.
+/// The body of one attempt, as hyper writes it to a server's connection. hyper may keep it for longer than the
+/// attempt lasts; from then on, it ends with an error.
 pub struct RequestBody {
     /// The body that this attempt sends.
     upload: Rc<Upload>,
+    /// The attempt that this body belongs to.
+    attempt: AttemptNumber,
     /// The unsent part of the buffered prefix.
     buffered: Bytes,
-    /// The part that the client is still sending, while this attempt holds it.
-    remainder: Option<StallTimeoutBody>,
-    /// The connection to the server.
+    /// The connection to the server, which is open for as long as the attempt lasts.
     connection: Rc<ServerConnection>,
 }
 
 impl RequestBody {
     /// Creates the body of an attempt over a connection.
     pub fn new(upload: &Rc<Upload>, connection: Rc<ServerConnection>) -> RequestBody {
-        // A request has one attempt at a time, so the remainder is present unless part of it has been
-        // forwarded.
-        let remainder = upload.remainder.borrow_mut().take();
         RequestBody {
             upload: upload.clone(),
+            attempt: upload.begin_attempt(),
             buffered: upload.buffered.clone(),
-            remainder: remainder.map(StallTimeoutBody::new),
             connection,
         }
     }
 
-    /// Polls for the next data of the part that was not buffered.
-    fn poll_remainder(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        loop {
-            let Some(remainder) = &mut self.remainder else {
-                self.connection.record_body_end();
-                let is_consumed = self.upload.is_consumed();
-                return Poll::Ready(is_consumed.then_some(Err(BodyError::AlreadyForwarded)));
-            };
-            match ready!(remainder.poll_frame(cx)) {
-                Ok(Some(frame)) => {
-                    let is_last = remainder.is_end_stream();
-                    // Trailers are not forwarded.
-                    let Ok(data) = frame.into_data() else { continue };
-                    self.upload.state.set(UploadState::Forwarding);
-                    // hyper stops reading at the announced length, so the last data frame must be recognized
-                    // as the end.
-                    if is_last {
-                        self.complete();
-                    }
-                    return Poll::Ready(Some(Ok(data)));
-                }
-                Ok(None) => {
-                    self.complete();
-                    return Poll::Ready(None);
-                }
-                Err(error) => {
-                    self.upload.state.set(UploadState::Failed);
-                    return Poll::Ready(Some(Err(error)));
-                }
-            }
+    /// Polls for the next data of the body; `None` marks its end.
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if self.connection.is_closed() {
+            return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
         }
-    }
-
-    /// Records that the whole remainder has been passed to hyper.
-    fn complete(&mut self) {
-        self.remainder = None;
-        self.connection.record_body_end();
-        if self.upload.state.replace(UploadState::Forwarded) == UploadState::Forwarded {
-            return;
+        if !self.buffered.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.buffered))));
         }
-        let on_forwarded = self.upload.on_forwarded.borrow_mut().take();
-        if let Some(on_forwarded) = on_forwarded {
-            on_forwarded();
+        let data = ready!(self.upload.poll_remainder(self.attempt, cx));
+        if self.upload.state.get() == UploadState::Forwarded(self.attempt) {
+            self.connection.record_body_end();
+            self.upload.notify_forwarded();
         }
+        Poll::Ready(data)
     }
 }
 
@@ -189,28 +239,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.buffered.is_empty() {
-            let buffered = std::mem::take(&mut self.buffered);
-            return Poll::Ready(Some(Ok(Frame::data(buffered))));
-        }
-        let data = ready!(self.poll_remainder(cx));
+        let data = ready!(self.poll_data(cx));
         Poll::Ready(data.map(|data| data.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.buffered.is_empty() && self.remainder.is_none() && self.upload.length == Some(0)
+        self.upload.length == Some(0)
     }
 
     fn size_hint(&self) -> SizeHint {
         self.upload.length.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
-
-impl Drop for RequestBody {
-    fn drop(&mut self) {
-        if !self.upload.is_consumed() {
-            let remainder = self.remainder.take().map(StallTimeoutBody::into_inner);
-            self.upload.remainder.replace(remainder);
-        }
-    }
-}
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -70,6 +70,8 @@
 pub struct ServerConnection {
     /// The socket; `None` once the connection is closed.
     socket: RefCell<Option<OpenSocket>>,
+    /// Wakes the task in which hyper reads and writes the connection.
+    task: RefCell<Option<Waker>>,
     progress: Cell<RequestProgress>,
     /// Condition for writing the current request; `None` once its first byte has been written.
     write_condition: RefCell<Option<WriteCondition>>,
@@ -88,6 +90,7 @@
         let socket = OpenSocket { socket: Socket::new(stream), _open_guard: open_guard };
         Rc::new(ServerConnection {
             socket: RefCell::new(Some(socket)),
+            task: RefCell::default(),
             progress: Cell::default(),
             write_condition: RefCell::default(),
             write_refused: Cell::new(false),
@@ -139,9 +142,26 @@
     }
 
     /// Closes the connection immediately, without waiting for a task to be polled: the connection of an
-    /// abandoned attempt must be closed before the next attempt of its request is sent.
+    /// abandoned attempt must be closed before the next attempt of its request is sent. Then wakes that task,
+    /// which would otherwise keep the request's body until the client sends more of it.
     pub fn close(&self) {
         self.socket.borrow_mut().take();
+        if let Some(task) = self.task.borrow_mut().take() {
+            task.wake();
+        }
+    }
+
+    /// Returns whether the connection has been closed by this gateway.
+    pub fn is_closed(&self) -> bool {
+        self.socket.borrow().is_none()
+    }
+
+    /// Stores the task that polls the connection, so that a close can wake it.
+    fn register_task(&self, cx: &Context<'_>) {
+        let mut task = self.task.borrow_mut();
+        if !task.as_ref().is_some_and(|task| task.will_wake(cx.waker())) {
+            *task = Some(cx.waker().clone());
+        }
     }
 
     /// Returns whether the current request is not the first one on the connection.
@@ -219,6 +239,7 @@
 impl AsyncRead for ServerConnectionIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let connection = &self.0;
+        connection.register_task(cx);
         let filled_before = buf.filled().len();
         let result = connection.poll_socket(|socket| socket.poll_read(cx, buf));
         connection.update_progress(|progress| progress.record_read(buf.filled().len() - filled_before));
@@ -234,6 +255,7 @@
 impl AsyncWrite for ServerConnectionIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         let connection = &self.0;
+        connection.register_task(cx);
         if connection.must_refuse_write() {
             return connection.abort(io::ErrorKind::ConnectionAborted);
         }
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -13,3 +13,4 @@
 mod servers;
 mod soak;
 mod takeover;
+mod upload_attempts;
