Keep with each attempt the zone or cell that its retries must stay in

Cause: Gateway::required_site looked up the first attempt's server in the table of servers. purge_removed deletes a removed server once no attempt is in flight there, while a request that ran there may be open; the missing entry then read as "not limited to a site".

Change: the attempt keeps the site its server had when it was sent, and the request derives its required site from its own attempts. This works because the list of servers is no longer asked for what it may have forgotten or changed since.

--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -3,6 +3,7 @@
 
 use super::retry_budget::retry_cost;
 use crate::api::{Action, Idempotency, Micros, RequestId, ServerId};
+use crate::balancing::selection::deduplication_site;
 use crate::gateway::Gateway;
 use crate::requests::{Attempt, Request};
 use crate::timer::Timer;
@@ -129,25 +130,27 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let server = prepared.server;
         let fully_sent = !request.body_incomplete;
+        let idempotency = self.settings.classes[request.class].idempotency;
         let (rules, virtual_time) = (&self.settings.rules, &mut self.virtual_time);
-        let expected_in_flight = self.servers.update(now, server, |server| {
-            let expected_in_flight = server.expected_in_flight(now);
-            server.slow_start_budget -= 1.0;
-            *virtual_time = virtual_time.max(server.virtual_time);
-            server.virtual_time = *virtual_time + server.busy_time_us(now, rules);
-            server.attempts_in_flight += u32::from(fully_sent);
-            expected_in_flight
-        });
-        let Some(expected_in_flight) = expected_in_flight else { return };
-        request.attempts.push(Attempt {
-            server,
-            sent_at: now,
-            in_flight: true,
-            may_have_run: false,
-            expected_in_flight,
-            uses_attempt_timeout: attempt_timeout.is_some(),
-            fully_sent,
+        let attempt = self.servers.update(now, server, |record| {
+            let attempt = Attempt {
+                server,
+                deduplication_site: deduplication_site(idempotency, &record.endpoint),
+                sent_at: now,
+                in_flight: true,
+                may_have_run: false,
+                expected_in_flight: record.expected_in_flight(now),
+                uses_attempt_timeout: attempt_timeout.is_some(),
+                fully_sent,
+            };
+            record.slow_start_budget -= 1.0;
+            *virtual_time = virtual_time.max(record.virtual_time);
+            record.virtual_time = *virtual_time + record.busy_time_us(now, rules);
+            record.attempts_in_flight += u32::from(fully_sent);
+            attempt
         });
+        let Some(attempt) = attempt else { return };
+        request.attempts.push(attempt);
         if fully_sent {
             self.load.record_fully_sent();
         }
--- a/crates/core/src/balancing/selection.rs
+++ b/crates/core/src/balancing/selection.rs
@@ -79,7 +79,7 @@
             is_retry,
             range: self.subset_range(ready),
             avoids_ejected: enforced_ejections(ejected, ready) > 0,
-            site: self.required_site(request),
+            site: request.required_site(),
             best: None,
             preferred_count: 0,
             preferred_target: size.min(MAX_CANDIDATES),
@@ -87,27 +87,14 @@
         selection.select(sampled)
     }
 
-    /// Returns the site whose servers drop duplicates of a request that may have run; `None` if attempts are
-    /// not limited to a site.
-    fn required_site(&self, request: &Request) -> Option<Site> {
-        let first = request.first_attempt_that_may_take_effect()?;
-        let endpoint = &self.servers.get(first.server)?.endpoint;
-        match self.settings.classes[request.class].idempotency {
-            Idempotency::IdempotencyKey { scope, .. } => site_of(scope, endpoint),
-            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
-        }
-    }
-
     /// Returns whether another server could take a retry of a request that may have run on this server.
     pub(crate) fn has_alternative(&self, now: Micros, id: ServerId, idempotency: Idempotency) -> bool {
         let Some(server) = self.servers.get(id) else { return false };
-        let scope = match idempotency {
-            Idempotency::Idempotent => DeduplicationScope::All,
-            Idempotency::IdempotencyKey { scope, .. } => scope,
-            Idempotency::NonIdempotent => return false,
-        };
+        if idempotency == Idempotency::NonIdempotent {
+            return false;
+        }
         let is_ejected = |server: &Server| server.health.ejected_until() > now;
-        let Some(site) = site_of(scope, &server.endpoint) else {
+        let Some(site) = deduplication_site(idempotency, &server.endpoint) else {
             let is_healthy = server.endpoint.state == EndpointState::Ready && !is_ejected(server);
             return self.servers.count(Subset::Healthy) > usize::from(is_healthy);
         };
@@ -116,13 +103,19 @@
     }
 }
 
-/// Returns the site of a server within which servers share idempotency keys; `None` if all servers of the
-/// back end share them.
-fn site_of(scope: DeduplicationScope, endpoint: &Endpoint) -> Option<Site> {
-    match scope {
-        DeduplicationScope::All => None,
-        DeduplicationScope::Zone => Some(Site::Zone(endpoint.zone)),
-        DeduplicationScope::Cell => Some(Site::Cell(endpoint.cell)),
+/// Returns the site whose servers drop duplicates of a request that a server may have run; `None` if no
+/// server or every server of the back end does.
+pub(crate) fn deduplication_site(idempotency: Idempotency, endpoint: &Endpoint) -> Option<Site> {
+    match idempotency {
+        Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, .. } => {
+            Some(Site::Zone(endpoint.zone))
+        }
+        Idempotency::IdempotencyKey { scope: DeduplicationScope::Cell, .. } => {
+            Some(Site::Cell(endpoint.cell))
+        }
+        Idempotency::IdempotencyKey { scope: DeduplicationScope::All, .. }
+        | Idempotency::Idempotent
+        | Idempotency::NonIdempotent => None,
     }
 }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -1,11 +1,15 @@
 //! Records of clients' requests and of their attempts, without any decisions.
 
 use crate::api::{CustomerId, Micros, ServerId};
+use crate::endpoints::server_index::Site;
 
 /// An attempt of a request at a server.
 pub(crate) struct Attempt {
     /// Server that the attempt was sent to.
     pub server: ServerId,
+    /// Site whose servers drop duplicates of the attempt, as listed when the attempt was sent: the server may
+    /// leave the list, or return elsewhere, before its request ends. `None` if no server or every one does.
+    pub deduplication_site: Option<Site>,
     /// Send time, or the time when the last part of a streamed body was sent.
     pub sent_at: Micros,
     /// Whether the attempt has no outcome yet.
@@ -64,6 +68,12 @@
         self.attempts.iter().find(|attempt| attempt.may_have_run || attempt.in_flight)
     }
 
+    /// Returns the site that further attempts must stay in, because an attempt may have run there; `None` if
+    /// they are not limited to a site.
+    pub fn required_site(&self) -> Option<Site> {
+        self.first_attempt_that_may_take_effect()?.deduplication_site
+    }
+
     /// Returns whether an attempt has no outcome yet.
     pub fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.in_flight)
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -3,14 +3,21 @@
 mod common;
 
 use common::actions::{forwarded_to, is_failed, is_rejected};
+use common::events::{endpoint_delta, endpoint_snapshot};
 use common::settings::{class, endpoint, settings};
 use common::test_gateway::TestGateway;
 use common::{MILLISECOND, SECOND};
-use grebehook_core::{Action, AttemptStatus, DeduplicationScope, Idempotency, RequestId, ServerId};
+use grebehook_core::{
+    Action, AttemptStatus, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency, NonZeroMicros,
+    RequestId, ServerId,
+};
 
 /// Idempotency key that the servers of one zone remember together for half a second.
 const ZONE_KEY: Idempotency =
     Idempotency::IdempotencyKey { scope: DeduplicationScope::Zone, window: 500 * MILLISECOND };
+/// Idempotency key that the servers of one cell remember together for half a second.
+const CELL_KEY: Idempotency =
+    Idempotency::IdempotencyKey { scope: DeduplicationScope::Cell, window: 500 * MILLISECOND };
 /// Idempotency key that all servers remember together for half a second.
 const GLOBAL_KEY: Idempotency =
     Idempotency::IdempotencyKey { scope: DeduplicationScope::All, window: 500 * MILLISECOND };
@@ -115,3 +122,49 @@
     let actions = gateway.complete_attempt(id, 3, server, AttemptStatus::Error);
     assert!(is_rejected(&actions) && forwarded_to(&actions).is_none());
 }
+
+/// Breaks the connection of each attempt until no further one is sent. Each time, discovery reports that the
+/// server of the first attempt is absent, and then that nothing has changed. Returns the servers of the retries.
+fn retries_without_first_server(first: &mut FirstAttempt, absence: &Event) -> Vec<ServerId> {
+    let mut server = first.server;
+    let mut retries = Vec::new();
+    loop {
+        first.gateway.handle(absence.clone());
+        let attempt = retries.len() as u32;
+        let reset = AttemptStatus::ConnectionReset;
+        let actions = first.gateway.complete_attempt(first.id, attempt, server, reset);
+        first.gateway.handle(endpoint_delta(Vec::new()));
+        let Some(next) = forwarded_to(&actions) else { return retries };
+        retries.push(next);
+        server = next;
+    }
+}
+
+/// Guards against a retry outside the zone or cell in which an attempt may have run, once the list no longer
+/// contains the server of that attempt.
+#[test]
+fn retries_stay_at_the_site_of_a_first_server_that_left_the_list() {
+    for idempotency in [ZONE_KEY, CELL_KEY] {
+        let first = FirstAttempt::send(idempotency).server;
+        let others = (1..=4).filter(|server| *server != first.0);
+        let others: Vec<_> = others.map(|server| endpoint(server, 1 - server as u32 % 2)).collect();
+        let removed = Endpoint { state: EndpointState::Removed, ..endpoint(first.0, 1 - first.0 as u32 % 2) };
+        let moved = Endpoint { started_at: NonZeroMicros::new(7), ..endpoint(first.0, first.0 as u32 % 2) };
+        for absence in [
+            endpoint_snapshot(others),
+            endpoint_delta(vec![removed.clone()]),
+            endpoint_delta(vec![Endpoint { state: EndpointState::Draining, ..removed }]),
+            endpoint_delta(vec![moved]),
+        ] {
+            let mut request = FirstAttempt::send(idempotency);
+            assert_eq!(request.server, first, "the choice of the first server is deterministic");
+            let retries = retries_without_first_server(&mut request, &absence);
+            assert!(!retries.is_empty(), "{idempotency:?}, {absence:?}: no retry");
+            let is_at_site = |server: &ServerId| *server != first && server.0 % 2 == first.0 % 2;
+            assert!(
+                retries.iter().all(is_at_site),
+                "{idempotency:?}, {absence:?}: {first:?} then {retries:?}"
+            );
+        }
+    }
+}
