Count a request's time from its newest byte while a server holds its body back

Cause: a request's time counts from the arrival of its last byte, but DecisionDriver::expire_request, start_attempt and the core's expire_request waited until a server had taken that byte. A server that reads nothing holds the body back, the gateway stops reading the client, and no deadline ever begins; the stall timeout of 15 s runs only while hyper asks for more of the body, which it does not do while it cannot write.

Change: Upload knows whether an attempt awaits the client's next data. If not, the rest of the body may have arrived, and the request ends one client timeout after its newest byte (TCP_INFO), at shutdown at the deadline of all others, and in any case after 15 s without progress. The end of a client is looked for while its body is held back. The stall timeout of a body runs only while its sender is awaited. This works because the newest byte is the last one, or the request is not complete.

--- a/crates/gateway/src/bodies/stall.rs
+++ b/crates/gateway/src/bodies/stall.rs
@@ -1,4 +1,5 @@
-//! Timeout for bodies whose sender stalls.
+//! Timeout for bodies whose sender stalls. Only the time during which the sender is waited for counts: a body that
+//! its receiver holds back has not stalled.
 
 use crate::bodies::error::BodyError;
 use bytes::Bytes;
@@ -12,26 +13,41 @@
 /// Maximum time without data from the sender before the body fails.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// A body that fails if its sender sends no data for [`STALL_TIMEOUT`].
+/// A body that fails if it is waited for and its sender sends no data for [`STALL_TIMEOUT`].
 pub struct StallTimeoutBody {
     body: Incoming,
-    /// Expires [`STALL_TIMEOUT`] after the last frame.
+    /// Expires [`STALL_TIMEOUT`] after the wait for the sender began.
     stall_timer: Pin<Box<Sleep>>,
+    /// Whether the last poll found no data, so that the sender is being waited for.
+    awaits_sender: bool,
 }
 
 impl StallTimeoutBody {
-    /// Wraps a body and starts the timeout.
+    /// Wraps a body that nobody waits for yet.
     pub fn new(body: Incoming) -> StallTimeoutBody {
-        StallTimeoutBody { body, stall_timer: Box::pin(sleep(STALL_TIMEOUT)) }
+        StallTimeoutBody { body, stall_timer: Box::pin(sleep(STALL_TIMEOUT)), awaits_sender: false }
+    }
+
+    /// Returns whether all data that the sender has sent so far has been taken and more is being waited for.
+    pub fn awaits_sender(&self) -> bool {
+        self.awaits_sender
+    }
+
+    /// Ends the wait for the sender until the next poll, because the receiver has gone.
+    pub fn stop_waiting(&mut self) {
+        self.awaits_sender = false;
     }
 
     /// Polls for the next frame; `None` marks the end of the body.
     pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Frame<Bytes>>, BodyError>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+            if !std::mem::replace(&mut self.awaits_sender, true) {
+                self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+            }
             ready!(self.stall_timer.as_mut().poll(cx));
             return Poll::Ready(Err(BodyError::Stalled));
         };
-        self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+        self.awaits_sender = false;
         Poll::Ready(frame.transpose().map_err(BodyError::Read))
     }
 
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -10,6 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
 
 /// The body of a client's request, which owns the part that the client is still sending. A completely buffered
@@ -22,6 +23,8 @@
     /// The length of the body, where it is known.
     length: Option<u64>,
     state: Cell<UploadState>,
+    /// Time at which an attempt last took data of the remainder, or the body was created.
+    last_taken_at: Cell<Instant>,
     /// The newest attempt, the only one that may read the remainder.
     newest_attempt: Cell<AttemptNumber>,
     /// Called once all of a streamed body has been forwarded.
@@ -64,6 +67,7 @@
             remainder: RefCell::new(body.remainder.map(StallTimeoutBody::new)),
             length,
             state: Cell::new(state),
+            last_taken_at: Cell::new(Instant::now()),
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
             _body_memory: body_memory,
@@ -116,14 +120,42 @@
         }
     }
 
+    /// Returns whether an attempt has forwarded all that the client has sent so far and awaits the client's next
+    /// data. Otherwise the rest of the body is held back by a server, or by the lack of one, and may have reached
+    /// this machine completely.
+    pub fn awaits_client(&self) -> bool {
+        self.remainder.borrow().as_ref().is_some_and(StallTimeoutBody::awaits_sender)
+    }
+
+    /// Returns for how long no data has been taken of a body that is held back; `None` while the client's next
+    /// data is awaited.
+    pub fn held_back_for(&self) -> Option<Duration> {
+        (!self.awaits_client()).then(|| self.last_taken_at.get().elapsed())
+    }
+
     /// Begins an attempt. Earlier attempts can no longer read the remainder.
     fn begin_attempt(&self) -> AttemptNumber {
+        self.stop_waiting();
         let AttemptNumber(previous) = self.newest_attempt.get();
         let attempt = AttemptNumber(previous + 1);
         self.newest_attempt.set(attempt);
         attempt
     }
 
+    /// Ends an attempt, which no longer awaits the client's data.
+    fn end_attempt(&self, attempt: AttemptNumber) {
+        if attempt == self.newest_attempt.get() {
+            self.stop_waiting();
+        }
+    }
+
+    /// Records that no attempt awaits the client's data.
+    fn stop_waiting(&self) {
+        if let Some(remainder) = self.remainder.borrow_mut().as_mut() {
+            remainder.stop_waiting();
+        }
+    }
+
     /// Polls for the next data after the buffered prefix on behalf of an attempt; `None` marks the end of the
     /// body.
     fn poll_remainder(
@@ -178,6 +210,7 @@
         if self.state.get() != UploadState::Forwarding(attempt) {
             guard.take();
         }
+        self.last_taken_at.set(Instant::now());
         Poll::Ready(data)
     }
 
@@ -251,3 +284,9 @@
         self.upload.length.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
+
+impl Drop for RequestBody {
+    fn drop(&mut self) {
+        self.upload.end_attempt(self.attempt);
+    }
+}
--- a/crates/gateway/src/clients/disconnect.rs
+++ b/crates/gateway/src/clients/disconnect.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Interval between checks for a disconnect while the rest of a streamed body is not being read.
+/// Interval between checks for a disconnect while a streamed body is incomplete.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Reports to the decision core, when dropped, that the client has disconnected. The driver ignores the
@@ -42,16 +42,16 @@
 /// Waits until the client of a request closes its sending side.
 pub async fn wait_for_disconnect(stream: &ClientStream, body: &Upload) {
     if body.is_incomplete() {
-        wait_for_disconnect_before_upload(stream, body).await;
+        wait_for_disconnect_during_upload(stream, body).await;
     } else {
         stream.wait_for_disconnect().await;
     }
 }
 
-/// Waits until the client closes its sending side, while its body has been read only in part. Once an attempt
-/// takes the rest of the body, hyper reads the connection and detects its end.
-async fn wait_for_disconnect_before_upload(stream: &ClientStream, body: &Upload) {
-    while !body.is_consumed() {
+/// Waits until the client closes its sending side, while its body is incomplete: hyper reads the connection, and
+/// detects its end, only as fast as a server takes the body. Later, hyper detects the end.
+async fn wait_for_disconnect_during_upload(stream: &ClientStream, body: &Upload) {
+    while body.is_incomplete() {
         if stream.is_read_closed() {
             return;
         }
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -135,7 +135,7 @@
             return Err(RequestError::ClientDisconnected);
         }
         let stream = client.stream.clone();
-        let newest_byte_age = move || stream.newest_byte_age();
+        let newest_byte_age = Rc::new(move || stream.newest_byte_age());
         let submitted = self.driver.submit(request_id, request_head, outgoing, newest_byte_age);
         let SubmittedRequest { id, answer, counter } = submitted.ok_or(RequestError::DuplicateId)?;
         client.begin_request();
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -4,7 +4,7 @@
 use crate::clients::head_scanner::{Framing, HeadScanner};
 use crate::clients::linger;
 use crate::network::socket::Socket;
-use crate::network::tcp_info::time_since_last_data;
+use crate::network::tcp_info::{newest_byte_age, NewestByteAge};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -121,14 +121,14 @@
         self.request_began_at.set(if is_between_requests { None } else { Some(Instant::now()) });
     }
 
-    /// Returns a lower bound of the time since the client's newest byte reached this machine. For a complete
-    /// request this is its age, including all queueing. The newest byte may belong to a later, pipelined
-    /// request; the request is then older. The result is 0 where the operating system does not provide the
-    /// time.
-    pub fn newest_byte_age(&self) -> Duration {
+    /// Returns the time since the client's newest byte reached this machine. For a complete request this is
+    /// its age, including all queueing. The newest byte may belong to a later, pipelined request; the request
+    /// is then older.
+    pub fn newest_byte_age(&self) -> NewestByteAge {
         let input = self.input.borrow();
-        let age = input.socket.as_ref().map(|socket| time_since_last_data(socket.get_ref()));
-        age.and_then(Result::ok).unwrap_or_default()
+        let reported = input.socket.as_ref().and_then(|socket| newest_byte_age(socket.get_ref()).ok());
+        let since_last_read = self.last_read_at.get().elapsed();
+        reported.unwrap_or(NewestByteAge { at_least: Duration::ZERO, estimate: since_last_read })
     }
 
     /// Returns whether bytes have arrived that hyper has not read.
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -107,7 +107,13 @@
     /// Notifies the decision core of a graceful shutdown, in which every request must have its final answer
     /// by the deadline.
     pub fn begin_shutdown(self: &Rc<Self>, deadline: Instant) {
-        self.handle_event(Event::Shutdown { deadline: self.clock.micros_at(deadline) });
+        let deadline = self.clock.micros_at(deadline);
+        let mut state = self.state.borrow_mut();
+        for id in state.requests.begin_shutdown(deadline) {
+            self.arm(&mut state, deadline, Timer::RequestDeadline(id));
+        }
+        state.events.push_back(Event::Shutdown { deadline });
+        self.process_events(&mut state);
     }
 
     /// Passes a gossip message from another gateway to the decision core.
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -2,37 +2,45 @@
 
 use super::{DecisionDriver, DriverState};
 use crate::driver::request::{Answer, RequestHead, SubmittedRequest};
-use crate::driver::request_table::InsertedRequest;
+use crate::driver::request_table::{InsertedRequest, NewRequest};
 use crate::driver::timers::Timer;
+use crate::network::tcp_info::NewestByteAge;
 use crate::servers::attempt::OutgoingRequest;
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId};
 use hyper::header::HeaderValue;
 use std::rc::Rc;
-use std::time::Duration;
+
+/// Interval between checks of a request whose client's data is awaited, in microseconds. If a server holds the
+/// body back meanwhile, the request is answered late by at most this interval.
+const UPLOAD_CHECK_INTERVAL: Micros = 50_000;
 
 impl DecisionDriver {
     /// Submits a client's request to the decision core. The client timeout runs from the arrival of the
-    /// request's last byte at this machine; `newest_byte_age`, which returns the time since the arrival of
-    /// the newest byte, is called once that byte has been read. Returns `None` while another request with the
-    /// same `client_request_id` is pending.
+    /// request's last byte at this machine; `newest_byte_age` returns the time since the arrival of the newest
+    /// byte. Returns `None` while another request with the same `client_request_id` is pending.
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: HeaderValue,
         head: RequestHead,
         outgoing: OutgoingRequest,
-        newest_byte_age: impl Fn() -> Duration + 'static,
+        newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
     ) -> Option<SubmittedRequest> {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let is_complete = outgoing.body.is_read_to_end();
-        let age = if is_complete { newest_byte_age().as_micros() as Micros } else { 0 };
+        let age = if is_complete { newest_byte_age().at_least.as_micros() as Micros } else { 0 };
         let deadline = now + head.client_timeout.saturating_sub(age);
-        let window = head.deduplication_window;
-        let InsertedRequest { id, answer } =
-            state.requests.insert(client_request_id, outgoing, deadline, window)?;
-        self.arm(&mut state, deadline, Timer::RequestDeadline(id));
-        let body_incomplete =
-            self.notify_when_body_forwarded(&state, id, head.client_timeout, newest_byte_age);
+        let InsertedRequest { id, answer } = state.requests.insert(NewRequest {
+            client_request_id,
+            outgoing,
+            deadline,
+            client_timeout: head.client_timeout,
+            newest_byte_age,
+            deduplication_window: head.deduplication_window,
+        })?;
+        let body_incomplete = self.notify_when_body_forwarded(&state, id);
+        let first_check = state.requests.answer_deadline(id, now).unwrap_or(deadline);
+        self.arm(&mut state, first_check, Timer::RequestDeadline(id));
         state.events.push_back(Event::RequestArrived(head.arrival(id, age, body_incomplete)));
         // The decision core must receive the time from which the deadline timer was computed. On a busy
         // machine, a second reading of the clock can be later by more than the core's margin, and the
@@ -43,30 +51,22 @@
 
     /// Arranges for [`DecisionDriver::handle_body_forwarded`] to be called once a request's body has been
     /// forwarded completely. Returns whether part of the body has yet to be forwarded.
-    fn notify_when_body_forwarded(
-        self: &Rc<Self>,
-        state: &DriverState,
-        id: RequestId,
-        client_timeout: Micros,
-        newest_byte_age: impl Fn() -> Duration + 'static,
-    ) -> bool {
+    fn notify_when_body_forwarded(self: &Rc<Self>, state: &DriverState, id: RequestId) -> bool {
         let Some(request) = state.requests.get(id) else { return false };
         let driver = self.clone();
-        request
-            .outgoing
-            .body
-            .on_forwarded(move || driver.handle_body_forwarded(id, client_timeout, newest_byte_age()))
+        request.outgoing.body.on_forwarded(move || driver.handle_body_forwarded(id))
     }
 
     /// Restarts the client timeout after the last part of a streamed body has been forwarded. The timeout
-    /// runs from the arrival of that part at this machine, which was `age` ago.
-    fn handle_body_forwarded(self: &Rc<Self>, id: RequestId, client_timeout: Micros, age: Duration) {
+    /// runs from the arrival of that part at this machine.
+    fn handle_body_forwarded(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(id) else { return };
-        let age = age.as_micros() as Micros;
-        let deadline = now + client_timeout.saturating_sub(age);
-        if let Some(attempt) = request.restart_timeouts(now, deadline) {
+        let age = request.newest_byte_age().at_least.as_micros() as Micros;
+        let attempt = request.restart_timeouts(now, age);
+        let deadline = request.deadline;
+        if let Some(attempt) = attempt {
             self.arm(&mut state, deadline, Timer::AttemptTimeout { id, attempt });
         }
         self.arm(&mut state, deadline, Timer::RequestDeadline(id));
@@ -100,8 +100,10 @@
     /// [`Answer::TimedOut`].
     pub(super) fn expire_request(&self, state: &mut DriverState, id: RequestId) {
         let Some(request) = state.requests.get(id).filter(|request| request.answer.is_some()) else { return };
-        // The deadline is unknown while the body is incomplete.
-        if request.outgoing.body.is_incomplete() || self.clock.now() < request.deadline {
+        if request.outgoing.body.is_incomplete() {
+            return self.check_upload(state, id);
+        }
+        if self.clock.now() < request.deadline {
             return;
         }
         if request.in_flight.is_some() {
@@ -114,4 +116,33 @@
         state.requests.answer(id, Answer::TimedOut);
         state.events.push_back(Event::ClientDisconnected { id });
     }
+
+    /// Ends a request whose body is incomplete if its client may have stopped waiting or the process ends, or
+    /// else arms the timer of the next check.
+    fn check_upload(&self, state: &mut DriverState, id: RequestId) {
+        let Some(request) = state.requests.get(id) else { return };
+        let now = self.clock.now();
+        let is_held_back = !request.outgoing.body.awaits_client();
+        let deadline = state.requests.answer_deadline(id, now);
+        if deadline.is_some_and(|deadline| deadline <= now) {
+            return self.end_upload(state, id, is_held_back);
+        }
+        let latest_check = if is_held_back { Micros::MAX } else { now + UPLOAD_CHECK_INTERVAL };
+        let next_check = deadline.map_or(latest_check, |deadline| deadline.min(latest_check));
+        self.arm(state, next_check, Timer::RequestDeadline(id));
+    }
+
+    /// Ends a request whose body has not been forwarded completely. If a server held the body back, its attempt
+    /// failed.
+    fn end_upload(&self, state: &mut DriverState, id: RequestId, is_held_back: bool) {
+        let Some(request) = state.requests.get(id) else { return };
+        if is_held_back {
+            self.log.log_stalled_upload();
+        }
+        let answer = request.answer_without_response();
+        state.requests.answer(id, answer);
+        state.events.push_back(Event::ClientDisconnected { id });
+        let status = if is_held_back { AttemptStatus::ConnectFailed } else { AttemptStatus::NotSent };
+        self.abort_attempt(state, id, status);
+    }
 }
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::request::Answer;
 use crate::driver::timers::Timer;
+use crate::network::tcp_info::NewestByteAge;
 use crate::servers::attempt::{AttemptConnection, OutgoingRequest};
 use grebehook_core::{AttemptStatus, Micros, RequestId, ServerId};
 use hyper::header::HeaderValue;
@@ -10,6 +11,9 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+/// Maximum time for which a body is held back without any progress, in microseconds.
+const MAX_HELD_BACK_TIME: Micros = 15_000_000;
+
 /// An attempt that has been started and has not ended yet.
 pub struct InFlightAttempt {
     /// Index of the attempt among the attempts of its request.
@@ -48,8 +52,13 @@
     pub answer: Option<oneshot::Sender<Answer>>,
     /// Request that is forwarded to servers.
     pub outgoing: Rc<OutgoingRequest>,
-    /// Time at which the client stops waiting.
+    /// Time at which the client stops waiting. While the body has not been forwarded completely, the time at
+    /// which it would if the request had arrived completely at its submission.
     pub deadline: Micros,
+    /// Time for which the client waits after the arrival of the request's last byte.
+    client_timeout: Micros,
+    /// Returns the time since the arrival of the client's newest byte.
+    newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
     /// Number of attempts made.
     pub attempts: u32,
     /// Whether the decision core has been notified that the body cannot be sent again.
@@ -115,10 +124,25 @@
         window_end.map_or(attempt_deadline, |end| attempt_deadline.min(end))
     }
 
+    /// Returns the time by which a request whose body is held back must be answered; `None` while more data of
+    /// the client is awaited. The newest byte may be the last one, from which the client's time counts; and a
+    /// server that takes nothing for long is not worth waiting for.
+    fn held_back_deadline(&self, now: Micros) -> Option<Micros> {
+        let held_back_for = self.outgoing.body.held_back_for()?.as_micros() as Micros;
+        let age = self.newest_byte_age().estimate.as_micros() as Micros;
+        let client_deadline = now.saturating_sub(age) + self.client_timeout;
+        Some(client_deadline.min(now.saturating_sub(held_back_for) + MAX_HELD_BACK_TIME))
+    }
+
+    /// Returns the time since the newest byte of the client reached this machine.
+    pub fn newest_byte_age(&self) -> NewestByteAge {
+        (self.newest_byte_age)()
+    }
+
     /// Restarts the timeouts of the request and of its attempt in flight, once the last part of a streamed
-    /// body has been forwarded. Returns the index of that attempt, if any.
-    pub fn restart_timeouts(&mut self, now: Micros, deadline: Micros) -> Option<u32> {
-        self.deadline = deadline;
+    /// body, which arrived `age` ago, has been forwarded. Returns the index of that attempt, if any.
+    pub fn restart_timeouts(&mut self, now: Micros, age: Micros) -> Option<u32> {
+        self.deadline = now + self.client_timeout.saturating_sub(age);
         let attempt = self.in_flight.as_mut()?;
         attempt.sent_at = now;
         Some(attempt.attempt)
@@ -136,6 +160,22 @@
     }
 }
 
+/// A request to be inserted into the table.
+pub struct NewRequest {
+    /// Id that the client assigned to the request.
+    pub client_request_id: HeaderValue,
+    /// Request that is forwarded to servers.
+    pub outgoing: OutgoingRequest,
+    /// Time at which the client stops waiting.
+    pub deadline: Micros,
+    /// Time for which the client waits after the arrival of the request's last byte.
+    pub client_timeout: Micros,
+    /// Returns the time since the arrival of the client's newest byte.
+    pub newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
+    /// Time for which servers deduplicate retries of the request, if it has an idempotency key.
+    pub deduplication_window: Option<Micros>,
+}
+
 /// A request that has just been inserted into the table.
 pub struct InsertedRequest {
     /// Id of the request in the table.
@@ -152,33 +192,31 @@
     client_request_ids: HashSet<HeaderValue>,
     /// Id of the newest request.
     last_id: u64,
+    /// Time by which every request must have its answer; `None` until a shutdown begins.
+    shutdown_deadline: Option<Micros>,
 }
 
 impl RequestTable {
     /// Inserts a request. Returns `None` while another request with the same `client_request_id` is in the
     /// table.
-    pub fn insert(
-        &mut self,
-        client_request_id: HeaderValue,
-        outgoing: OutgoingRequest,
-        deadline: Micros,
-        deduplication_window: Option<Micros>,
-    ) -> Option<InsertedRequest> {
-        if !self.client_request_ids.insert(client_request_id.clone()) {
+    pub fn insert(&mut self, request: NewRequest) -> Option<InsertedRequest> {
+        if !self.client_request_ids.insert(request.client_request_id.clone()) {
             return None;
         }
         self.last_id += 1;
         let id = RequestId(self.last_id);
         let (sender, receiver) = oneshot::channel();
         let request = PendingRequest {
-            client_request_id,
+            client_request_id: request.client_request_id,
             answer: Some(sender),
-            outgoing: Rc::new(outgoing),
-            deadline,
+            outgoing: Rc::new(request.outgoing),
+            deadline: request.deadline,
+            client_timeout: request.client_timeout,
+            newest_byte_age: request.newest_byte_age,
             attempts: 0,
             body_consumption_reported: false,
             in_flight: None,
-            deduplication_window,
+            deduplication_window: request.deduplication_window,
             first_run_sent_at: None,
         };
         self.requests.insert(id, request);
@@ -208,8 +246,27 @@
 
     /// Returns the ids, in ascending order, of the requests whose attempt in flight satisfies a condition.
     pub fn ids_with_attempt(&self, condition: impl Fn(&InFlightAttempt) -> bool) -> Vec<RequestId> {
-        let satisfies = |request: &PendingRequest| request.in_flight.as_ref().is_some_and(&condition);
-        let selected = self.requests.iter().filter(|(_, request)| satisfies(request));
+        self.ids_where(|request| request.in_flight.as_ref().is_some_and(&condition))
+    }
+
+    /// Returns the time by which a request whose body has not been forwarded completely must have its answer, as
+    /// far as that is known now; `None` if the body is complete, or if more data of the client is awaited.
+    pub fn answer_deadline(&self, id: RequestId, now: Micros) -> Option<Micros> {
+        let request = self.get(id).filter(|request| request.outgoing.body.is_incomplete())?;
+        let deadlines = request.held_back_deadline(now).into_iter().chain(self.shutdown_deadline);
+        deadlines.min()
+    }
+
+    /// Sets the time by which every request must have its answer because the process ends. Returns the ids, in
+    /// ascending order, of the requests whose body has not been forwarded completely.
+    pub fn begin_shutdown(&mut self, deadline: Micros) -> Vec<RequestId> {
+        self.shutdown_deadline = Some(deadline);
+        self.ids_where(|request| request.outgoing.body.is_incomplete())
+    }
+
+    /// Returns the ids, in ascending order, of the requests that satisfy a condition.
+    fn ids_where(&self, condition: impl Fn(&PendingRequest) -> bool) -> Vec<RequestId> {
+        let selected = self.requests.iter().filter(|(_, request)| condition(request));
         let mut ids: Vec<RequestId> = selected.map(|(id, _)| *id).collect();
         ids.sort_unstable();
         ids
--- a/crates/gateway/src/network/tcp_info.rs
+++ b/crates/gateway/src/network/tcp_info.rs
@@ -23,12 +23,20 @@
     [u32; LAST_DATA_RECEIVED_INDEX + 1]
 );
 
-/// Returns a lower bound of the time since the last data of a connection reached this machine, whether or not
-/// it has been read.
-pub fn time_since_last_data(connection: &impl AsFd) -> io::Result<Duration> {
+/// The time since the newest byte of a connection reached this machine, whether or not it has been read.
+#[derive(Clone, Copy, Debug)]
+pub struct NewestByteAge {
+    /// Lower bound; 0 where the operating system does not provide the time.
+    pub at_least: Duration,
+    /// The time that the operating system states; where it states none, the time since input was last read.
+    pub estimate: Duration,
+}
+
+/// Returns the time since the newest byte of a connection reached this machine, as the kernel states it.
+pub fn newest_byte_age(connection: &impl AsFd) -> io::Result<NewestByteAge> {
     let words = getsockopt(connection, TcpInfo)?;
-    let since_last_data = Duration::from_millis(words[LAST_DATA_RECEIVED_INDEX].into());
-    Ok(since_last_data.saturating_sub(MAX_KERNEL_TICK))
+    let estimate = Duration::from_millis(words[LAST_DATA_RECEIVED_INDEX].into());
+    Ok(NewestByteAge { at_least: estimate.saturating_sub(MAX_KERNEL_TICK), estimate })
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/network/tcp_info/tests.rs
+++ b/crates/gateway/src/network/tcp_info/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the time since the last received data.
 
-use super::{time_since_last_data, MAX_KERNEL_TICK};
+use super::{newest_byte_age, MAX_KERNEL_TICK};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread::sleep;
@@ -20,7 +20,7 @@
     let (mut accepted, _) = listener.accept().unwrap();
     accepted.read_exact(&mut [0; 7]).unwrap();
     let at_least = after_write.elapsed();
-    let age = time_since_last_data(&accepted).unwrap();
+    let age = newest_byte_age(&accepted).unwrap().at_least;
     assert!(age + 2 * MAX_KERNEL_TICK >= at_least, "{age:?}, {at_least:?}");
     assert!(age <= before_write.elapsed(), "{age:?}");
 }
@@ -33,6 +33,6 @@
     sleep(WAIT);
     let before_write = Instant::now();
     client.write_all(b"request").unwrap();
-    let age = time_since_last_data(&accepted).unwrap();
+    let age = newest_byte_age(&accepted).unwrap().at_least;
     assert!(age <= before_write.elapsed(), "{age:?}");
 }
--- /dev/null
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -0,0 +1,139 @@
+//! Long bodies that a server takes only in part or slowly, so that the gateway holds the rest of them back: the
+//! request may have arrived completely, and gets its final answer in time.
+
+use crate::rig::chunks::encode_chunk;
+use crate::rig::client::{operator_get, Client};
+use crate::rig::deployment::{Deployment, NON_IDEMPOTENT};
+use crate::rig::gateway_process::GatewayProcess;
+use crate::rig::message::read_head;
+use crate::rig::request::{non_idempotent_request, with_client_timeout, with_framing};
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time for which clients wait for their answer, in milliseconds.
+const CLIENT_TIMEOUT_MS: u64 = 1_000;
+/// Time for which clients wait that outlast the gateway, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 60_000;
+/// Time from the end of the client timeout to the latest answer: half a second, and 50 ms as on all time limits.
+const ANSWER_SLACK: Duration = Duration::from_millis(550);
+/// Length of a chunk of a body.
+const CHUNK_BYTES: usize = 256 << 10;
+/// Maximum number of chunks of a body. Together they exceed the system's buffers on the way to a server.
+const MAX_CHUNKS: usize = 100;
+/// Maximum number of bytes that a slow server reads at a time.
+const SLOW_READ_BYTES: usize = 4 << 10;
+/// Delay of a slow server between two reads.
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A gateway in front of a listener, and the client of a long request.
+struct HeldBackRig {
+    listener: TcpListener,
+    gateway: GatewayProcess,
+    client: Client,
+}
+
+impl HeldBackRig {
+    /// Starts a gateway and sends it the head of a request with a chunked body.
+    fn start(client_timeout_ms: u64) -> HeldBackRig {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let deployment = Deployment::with_endpoint(listener.local_addr().unwrap()).operator_interface();
+        let gateway = deployment.deadline_us(NON_IDEMPOTENT, LONG_TIMEOUT_MS * 1_000).start();
+        let mut client = gateway.connect();
+        let request = with_client_timeout(&non_idempotent_request(""), client_timeout_ms);
+        client.write(&with_framing(&request, "Transfer-Encoding: chunked"));
+        HeldBackRig { listener, gateway, client }
+    }
+
+    /// Sends chunks until the gateway holds them back. Returns the server's connection.
+    fn send_until_held_back(&mut self) -> TcpStream {
+        let chunk = encode_chunk(&vec![b'x'; CHUNK_BYTES]);
+        self.client.write_bytes(&chunk);
+        let mut server = self.listener.accept().unwrap().0;
+        read_head(&mut server);
+        for _ in 0..MAX_CHUNKS {
+            if !self.gateway.reads_all_from(&self.client) {
+                return server;
+            }
+            self.client.write_bytes(&chunk);
+        }
+        panic!("the gateway holds nothing back");
+    }
+
+    /// Ends the body, waits for the answer, and asserts that it arrives in time and that the client may retry.
+    fn assert_rejected_in_time(&mut self) {
+        self.client.write("0\r\n\r\n");
+        let ended_at = Instant::now();
+        assert_eq!(self.client.expect_response().status(), 429);
+        let elapsed = ended_at.elapsed();
+        let latest = Duration::from_millis(CLIENT_TIMEOUT_MS) + ANSWER_SLACK;
+        assert!(elapsed <= latest, "{elapsed:?}");
+    }
+}
+
+/// Guards against a request without a deadline: it began only once a server had taken the whole body, which a
+/// server that hangs in the middle of it never does.
+#[test]
+fn request_whose_server_hangs_in_its_body_is_answered_in_time() {
+    let mut rig = HeldBackRig::start(CLIENT_TIMEOUT_MS);
+    let _hanging = rig.send_until_held_back();
+    rig.assert_rejected_in_time();
+    rig.gateway.wait_for_log("not taken by a server in time");
+}
+
+/// As above, with a server that goes on to take a little of the body at a time.
+#[test]
+fn request_whose_server_takes_its_body_too_slowly_is_answered_in_time() {
+    let mut rig = HeldBackRig::start(CLIENT_TIMEOUT_MS);
+    let mut slow = rig.send_until_held_back();
+    thread::spawn(move || {
+        while slow.read(&mut [0; SLOW_READ_BYTES]).is_ok_and(|read| read > 0) {
+            thread::sleep(SLOW_READ_INTERVAL);
+        }
+    });
+    rig.assert_rejected_in_time();
+}
+
+/// The client of a request that a server holds back would wait for longer than the process runs.
+#[test]
+fn request_whose_server_hangs_in_its_body_is_answered_at_shutdown() {
+    let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
+    let _hanging = rig.send_until_held_back();
+    rig.client.write("0\r\n\r\n");
+    rig.gateway.terminate();
+    assert_eq!(rig.client.expect_response().status(), 429);
+    drop(rig.client);
+    assert!(rig.gateway.wait().success());
+}
+
+/// A request that is still being sent when the process ends, though its server takes all of it.
+#[test]
+fn request_with_an_unfinished_body_is_answered_at_shutdown() {
+    let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
+    rig.client.write_bytes(&encode_chunk(&vec![b'x'; CHUNK_BYTES]));
+    let mut server = rig.listener.accept().unwrap().0;
+    read_head(&mut server);
+    rig.gateway.terminate();
+    thread::spawn(move || server.read_to_end(&mut Vec::new()));
+    assert_eq!(rig.client.expect_response().status(), 429);
+    drop(rig.client);
+    assert!(rig.gateway.wait().success());
+}
+
+/// The gateway reads nothing more from the client, but learns from the system that it has closed.
+#[test]
+fn attempt_ends_when_the_client_of_a_held_back_body_disconnects() {
+    let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
+    let operators = rig.gateway.operator_address();
+    let _hanging = rig.send_until_held_back();
+    let active = |count: usize| format!("gateway_active {count}\n");
+    let stats = || String::from_utf8(operator_get(operators, "/admin/stats").body).unwrap();
+    assert!(stats().contains(&active(1)), "{}", stats());
+    drop(rig.client);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !stats().contains(&active(0)) {
+        assert!(Instant::now() < deadline, "the request is still active 5 s after its client has gone");
+        thread::yield_now();
+    }
+}
--- a/crates/gateway/tests/loopback/rig/client.rs
+++ b/crates/gateway/tests/loopback/rig/client.rs
@@ -16,6 +16,11 @@
         Ok(Client(BufReader::new(stream)))
     }
 
+    /// Returns the port of the client's end of the connection.
+    pub fn port(&self) -> u16 {
+        self.0.get_ref().local_addr().unwrap().port()
+    }
+
     /// Sends text unchanged.
     pub fn write(&mut self, text: &str) {
         self.write_bytes(text.as_bytes());
--- a/crates/gateway/tests/loopback/rig/gateway_process.rs
+++ b/crates/gateway/tests/loopback/rig/gateway_process.rs
@@ -13,11 +13,13 @@
 use std::process::{Child, ExitStatus};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Code in Linux's `/proc/net/tcp` for a connection that the remote side has closed and the local side
 /// has not.
 const CLOSE_WAIT: &str = "08";
+/// Time after which input that the gateway has not read counts as held back.
+const HELD_BACK_TIME: Duration = Duration::from_millis(300);
 /// Fields of `/proc/PID/stat` for user and system time, counted from the process state as field 0.
 const CPU_TIME_FIELDS: [usize; 2] = [11, 12];
 
@@ -182,6 +184,31 @@
         }
     }
 
+    /// Waits until the gateway has read all that a client has sent. Returns false if it holds input back.
+    pub fn reads_all_from(&self, client: &Client) -> bool {
+        let deadline = Instant::now() + HELD_BACK_TIME;
+        while self.unread_bytes_of(client) > 0 {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            thread::yield_now();
+        }
+        true
+    }
+
+    /// Returns the number of bytes of a client that have reached the gateway's machine and were not read, by
+    /// `/proc/net/tcp`.
+    fn unread_bytes_of(&self, client: &Client) -> u64 {
+        let (local, remote) = (self.address.port(), client.port());
+        let (local, remote) = (format!(":{local:04X}"), format!(":{remote:04X}"));
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<&str>>());
+        let mut rows =
+            rows.filter(|row| row.len() > 4 && row[1].ends_with(&local) && row[2].ends_with(&remote));
+        let (_, unread) = rows.next().expect("the client is connected")[4].split_once(':').unwrap();
+        u64::from_str_radix(unread, 16).unwrap()
+    }
+
     /// Returns the number of connections at the gateway's port in a state of `/proc/net/tcp`.
     fn connections_in(&self, state: &str) -> usize {
         let port = format!(":{:04X}", self.address.port());
