Keep more of a long body for the next server while the first may still reject the request

Callers saw: 429 for a request with a body of more than 64 KiB that one server had rejected, though nothing had run and other servers would have taken it.

Cause: all of a body after the first 64 KiB was forwarded without being kept, as soon as it came (Upload::poll_client), so a rejection after the whole request, or of a fast client's request, left no body for a further attempt.

Change: ReplayBuffer keeps up to 256 KiB more while more than half of the memory for request bodies is free; what cannot be kept is held for the first 20 ms of an attempt, in which a server rejects a request on its head. BodyMemory and Reservation own the memory that the handler's semaphore counted.

A body longer than that, rejected later, still ends in 429.

--- a/crates/gateway/src/bodies/mod.rs
+++ b/crates/gateway/src/bodies/mod.rs
@@ -4,6 +4,8 @@
 pub mod buffering;
 pub mod download;
 pub mod error;
+pub mod memory;
+pub mod replay_buffer;
 pub mod size;
 pub mod stall;
 pub mod upload;
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -2,23 +2,32 @@
 
 use crate::bodies::buffering::PartiallyReadBody;
 use crate::bodies::error::BodyError;
+use crate::bodies::memory::{BodyMemory, Reservation};
+use crate::bodies::replay_buffer::ReplayBuffer;
 use crate::bodies::stall::StallTimeoutBody;
 use crate::servers::connection::ServerConnection;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{sleep_until, Sleep};
 
-/// The body of a client's request, which owns the part that the client is still sending. A completely buffered
-/// body can be sent any number of times, a streamed one only once.
+/// Time from the beginning of an attempt within which a server that rejects a request on its head does so. Until
+/// then, no part of the body is forwarded that could not be sent again.
+const REJECTION_GRACE: Duration = Duration::from_millis(20);
+
+/// The body of a client's request, which owns the part that the client is still sending. A body can be sent any
+/// number of times for as long as all that was forwarded of it is kept, afterwards only once.
 pub struct Upload {
     /// The part read before the first attempt.
     buffered: Bytes,
-    /// The part that the client is still sending; present while `state` is `Unread` or `Forwarding`.
+    /// The part of a streamed body that has been forwarded after `buffered`; `None` once it is no longer kept.
+    replay: RefCell<Option<ReplayBuffer>>,
+    /// The part that the client is still sending; present while `state` is `Receiving` or `Forwarding`.
     remainder: RefCell<Option<StallTimeoutBody>>,
     /// The length of the body, where it is known.
     length: Option<u64>,
@@ -29,8 +38,8 @@
     newest_attempt: Cell<AttemptNumber>,
     /// Called once all of a streamed body has been forwarded.
     on_forwarded: RefCell<Option<Box<dyn FnOnce()>>>,
-    /// Reserved memory for request bodies.
-    _body_memory: Option<OwnedSemaphorePermit>,
+    /// The memory of `buffered`; `None` for a very short body.
+    _reservation: Option<Reservation>,
 }
 
 /// Number of an attempt among those that began to send the body.
@@ -40,10 +49,10 @@
 /// How much of a body has been read and forwarded.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum UploadState {
-    /// The whole body is buffered.
-    Buffered,
-    /// The body exceeds the buffer limit, and nothing after the buffered prefix has been read.
-    Unread,
+    /// The whole body is kept.
+    Complete,
+    /// The body exceeds the buffer limit, and all that has been read of it is kept.
+    Receiving,
     /// This attempt has forwarded part of the remainder, which is no longer available to others.
     Forwarding(AttemptNumber),
     /// This attempt has forwarded the remainder to its end.
@@ -53,32 +62,42 @@
 }
 
 impl Upload {
-    /// Creates a body from its buffered prefix and the memory reserved for it.
+    /// Creates a body from its buffered prefix and the memory reserved for it. More of the body is kept in
+    /// spare `memory`.
     pub fn new(
         body: PartiallyReadBody,
         length: Option<u64>,
-        body_memory: Option<OwnedSemaphorePermit>,
+        reservation: Option<Reservation>,
+        memory: &BodyMemory,
     ) -> Upload {
+        let replay = body.remainder.is_some().then(|| ReplayBuffer::new(memory.clone()));
+        Upload { _reservation: reservation, ..Upload::with_replay(body, length, replay) }
+    }
+
+    /// Creates the body of a request that has none.
+    pub fn empty() -> Upload {
+        let body = PartiallyReadBody { buffered: Bytes::new(), remainder: None };
+        Upload::with_replay(body, None, None)
+    }
+
+    /// Creates a body for which no memory is reserved.
+    fn with_replay(body: PartiallyReadBody, length: Option<u64>, replay: Option<ReplayBuffer>) -> Upload {
         let is_streamed = body.remainder.is_some();
         let length = if is_streamed { length } else { Some(body.buffered.len() as u64) };
-        let state = if is_streamed { UploadState::Unread } else { UploadState::Buffered };
+        let state = if is_streamed { UploadState::Receiving } else { UploadState::Complete };
         Upload {
             buffered: body.buffered,
+            replay: RefCell::new(replay),
             remainder: RefCell::new(body.remainder.map(StallTimeoutBody::new)),
             length,
             state: Cell::new(state),
             last_taken_at: Cell::new(Instant::now()),
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
-            _body_memory: body_memory,
+            _reservation: None,
         }
     }
 
-    /// Creates the body of a request that has none.
-    pub fn empty() -> Upload {
-        Upload::new(PartiallyReadBody { buffered: Bytes::new(), remainder: None }, None, None)
-    }
-
     /// Returns the length of the body, where it is known.
     pub fn length(&self) -> Option<u64> {
         self.length
@@ -87,7 +106,7 @@
     /// Returns whether the body can no longer be sent completely by a further attempt.
     pub fn is_consumed(&self) -> bool {
         match self.state.get() {
-            UploadState::Buffered | UploadState::Unread => false,
+            UploadState::Complete | UploadState::Receiving => false,
             UploadState::Forwarding(_) | UploadState::Forwarded(_) | UploadState::Failed => true,
         }
     }
@@ -100,7 +119,7 @@
     /// Registers a callback for when all of a streamed body has been forwarded. Returns false, and never
     /// calls it, if the body is completely buffered.
     pub fn on_forwarded(&self, callback: impl FnOnce() + 'static) -> bool {
-        let is_streamed = self.state.get() != UploadState::Buffered;
+        let is_streamed = self.state.get() != UploadState::Complete;
         if is_streamed {
             self.on_forwarded.replace(Some(Box::new(callback)));
         }
@@ -115,8 +134,8 @@
     /// Returns whether the client's connection has been read to the end of the body.
     pub fn is_read_to_end(&self) -> bool {
         match self.state.get() {
-            UploadState::Buffered | UploadState::Forwarded(_) => true,
-            UploadState::Unread | UploadState::Forwarding(_) | UploadState::Failed => false,
+            UploadState::Complete | UploadState::Forwarded(_) => true,
+            UploadState::Receiving | UploadState::Forwarding(_) | UploadState::Failed => false,
         }
     }
 
@@ -156,8 +175,31 @@
         }
     }
 
-    /// Polls for the next data after the buffered prefix on behalf of an attempt; `None` marks the end of the
-    /// body.
+    /// Returns the next part of the body from a position, as far as it is kept.
+    fn kept_part_from(&self, position: usize) -> Option<Bytes> {
+        if position < self.buffered.len() {
+            return Some(self.buffered.slice(position..));
+        }
+        self.replay.borrow().as_ref()?.part_from(position - self.buffered.len())
+    }
+
+    /// Returns whether the next data of the client can be kept, or nothing more has to be.
+    fn keeps_next_data(&self) -> bool {
+        let mut replay = self.replay.borrow_mut();
+        self.state.get() != UploadState::Receiving || replay.as_mut().is_some_and(ReplayBuffer::has_room)
+    }
+
+    /// Returns whether an attempt that has sent `position` bytes has sent the last of a body whose length is
+    /// known, after which hyper asks for no more.
+    fn is_forwarded_by(&self, attempt: AttemptNumber, position: usize) -> bool {
+        match self.state.get() {
+            UploadState::Complete => self.length == Some(position as u64),
+            UploadState::Forwarded(by) => by == attempt,
+            UploadState::Receiving | UploadState::Forwarding(_) | UploadState::Failed => false,
+        }
+    }
+
+    /// Polls for the next data after what is kept on behalf of an attempt; `None` marks the end of the body.
     fn poll_remainder(
         &self,
         attempt: AttemptNumber,
@@ -167,10 +209,10 @@
             return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
         }
         match self.state.get() {
-            UploadState::Buffered => return Poll::Ready(None),
+            UploadState::Complete => return Poll::Ready(None),
             UploadState::Forwarded(by) if by == attempt => return Poll::Ready(None),
             UploadState::Forwarding(by) if by == attempt => {}
-            UploadState::Unread => {}
+            UploadState::Receiving => {}
             UploadState::Forwarding(_) | UploadState::Forwarded(_) | UploadState::Failed => {
                 return Poll::Ready(Some(Err(BodyError::AlreadyForwarded)));
             }
@@ -200,20 +242,40 @@
                 Err(error) => break Some(Err(error)),
             }
         };
+        let is_end = match &data {
+            // hyper stops reading at the announced length, so the last data frame must be recognized as the end.
+            Some(Ok(_)) => remainder.is_end_stream(),
+            Some(Err(_)) | None => true,
+        };
         self.state.set(match &data {
-            // hyper stops reading at the announced length, so the last data frame must be recognized as the
-            // end.
-            Some(Ok(_)) if !remainder.is_end_stream() => UploadState::Forwarding(attempt),
-            Some(Ok(_)) | None => UploadState::Forwarded(attempt),
             Some(Err(_)) => UploadState::Failed,
+            Some(Ok(data)) => self.state_after(data, is_end, attempt),
+            None => self.state_after(&Bytes::new(), is_end, attempt),
         });
-        if self.state.get() != UploadState::Forwarding(attempt) {
+        if is_end {
             guard.take();
         }
         self.last_taken_at.set(Instant::now());
         Poll::Ready(data)
     }
 
+    /// Returns the state after an attempt has read data, which may be the last, from the client. Keeps the data
+    /// if all before it is kept and there is room.
+    fn state_after(&self, data: &Bytes, is_end: bool, attempt: AttemptNumber) -> UploadState {
+        let mut replay = self.replay.borrow_mut();
+        let is_kept = self.state.get() == UploadState::Receiving
+            && replay.as_mut().is_some_and(|replay| replay.append(data));
+        if !is_kept {
+            replay.take();
+        }
+        match (is_kept, is_end) {
+            (true, true) => UploadState::Complete,
+            (true, false) => UploadState::Receiving,
+            (false, true) => UploadState::Forwarded(attempt),
+            (false, false) => UploadState::Forwarding(attempt),
+        }
+    }
+
     /// Calls the callback for the end of a streamed body, once.
     fn notify_forwarded(&self) {
         let on_forwarded = self.on_forwarded.borrow_mut().take();
@@ -230,8 +292,12 @@
     upload: Rc<Upload>,
     /// The attempt that this body belongs to.
     attempt: AttemptNumber,
-    /// The unsent part of the buffered prefix.
-    buffered: Bytes,
+    /// Number of bytes of the body that the attempt has sent.
+    position: usize,
+    /// Time at which the attempt began to use its connection.
+    began_at: Instant,
+    /// Expires [`REJECTION_GRACE`] after `began_at`; `None` until that is waited for.
+    rejection_timer: Option<Pin<Box<Sleep>>>,
     /// The connection to the server, which is open for as long as the attempt lasts.
     connection: Rc<ServerConnection>,
 }
@@ -242,7 +308,9 @@
         RequestBody {
             upload: upload.clone(),
             attempt: upload.begin_attempt(),
-            buffered: upload.buffered.clone(),
+            position: 0,
+            began_at: Instant::now(),
+            rejection_timer: None,
             connection,
         }
     }
@@ -252,16 +320,31 @@
         if self.connection.is_closed() {
             return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
         }
-        if !self.buffered.is_empty() {
-            return Poll::Ready(Some(Ok(std::mem::take(&mut self.buffered))));
+        let data = match self.upload.kept_part_from(self.position) {
+            Some(part) => Some(Ok(part)),
+            None => {
+                if !self.upload.keeps_next_data() {
+                    ready!(self.poll_rejection_grace(cx));
+                }
+                ready!(self.upload.poll_remainder(self.attempt, cx))
+            }
+        };
+        if let Some(Ok(data)) = &data {
+            self.position += data.len();
         }
-        let data = ready!(self.upload.poll_remainder(self.attempt, cx));
-        if self.upload.state.get() == UploadState::Forwarded(self.attempt) {
+        if data.is_none() || self.upload.is_forwarded_by(self.attempt, self.position) {
             self.connection.record_body_end();
             self.upload.notify_forwarded();
         }
         Poll::Ready(data)
     }
+
+    /// Waits until a server that rejects the request on its head has had the time to do so.
+    fn poll_rejection_grace(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let grace_end = self.began_at + REJECTION_GRACE;
+        let timer = self.rejection_timer.get_or_insert_with(|| Box::pin(sleep_until(grace_end.into())));
+        timer.as_mut().poll(cx)
+    }
 }
 
 impl Body for RequestBody {
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -1,6 +1,7 @@
 //! Handling of one client request: reads it, submits it to the decision core and waits for its final answer.
 
 use crate::bodies::buffering::read_up_to_limit;
+use crate::bodies::memory::BodyMemory;
 use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
 use crate::bodies::upload::Upload;
 use crate::clients::connection::ClientConnection;
@@ -22,16 +23,13 @@
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::rc::Rc;
-use std::sync::Arc;
-use tokio::sync::{oneshot, Semaphore};
+use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 /// Maximum length of a request body.
 const MAX_REQUEST_BODY_BYTES: u64 = 32 << 20;
 /// Maximum length of a body that needs no reserved memory, since it fits into hyper's read buffer.
 const MAX_UNRESERVED_BODY_BYTES: u64 = 4 << 10;
-/// Number of bytes of body memory that one semaphore permit represents.
-const BYTES_PER_PERMIT: usize = 1 << 10;
 /// HTTP path of the platform's health check of the gateway.
 const HEALTH_PATH: &str = "/_health";
 
@@ -40,8 +38,8 @@
     driver: Rc<DecisionDriver>,
     /// Parses request heads.
     head_parser: RequestHeadParser,
-    /// Memory for buffered parts of request bodies, in permits of [`BYTES_PER_PERMIT`].
-    body_memory: Arc<Semaphore>,
+    /// Memory for the parts of request bodies that are kept.
+    body_memory: BodyMemory,
 }
 
 /// A response, and whether its connection may be reused.
@@ -66,8 +64,8 @@
         head_parser: RequestHeadParser,
         body_memory_bytes: usize,
     ) -> RequestHandler {
-        let permits = body_memory_bytes.max(MAX_BUFFERED_BODY_BYTES) / BYTES_PER_PERMIT;
-        RequestHandler { driver, head_parser, body_memory: Arc::new(Semaphore::new(permits)) }
+        let body_memory = BodyMemory::new(body_memory_bytes.max(MAX_BUFFERED_BODY_BYTES));
+        RequestHandler { driver, head_parser, body_memory }
     }
 
     /// Returns the response to a request.
@@ -180,14 +178,13 @@
         let length = body.size_hint().exact();
         let max_buffered = MAX_BUFFERED_BODY_BYTES as u64;
         let buffered_length = length.map_or(max_buffered, |length| length.min(max_buffered));
-        let body_memory = if buffered_length <= MAX_UNRESERVED_BODY_BYTES {
+        let reservation = if buffered_length <= MAX_UNRESERVED_BODY_BYTES {
             None
         } else {
-            let permits = buffered_length.div_ceil(BYTES_PER_PERMIT as u64) as u32;
-            Some(self.body_memory.clone().acquire_many_owned(permits).await.ok()?)
+            Some(self.body_memory.reserve(buffered_length as usize).await?)
         };
         let body = read_up_to_limit(body).await.ok()?;
-        Some(Upload::new(body, length, body_memory))
+        Some(Upload::new(body, length, reservation, &self.body_memory))
     }
 }
 
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -1,6 +1,7 @@
 //! Long bodies that a server takes only in part or slowly, so that the gateway holds the rest of them back: the
 //! request may have arrived completely, and gets its final answer in time.
 
+use crate::rig::accept::accept;
 use crate::rig::chunks::encode_chunk;
 use crate::rig::client::{operator_get, Client};
 use crate::rig::deployment::{Deployment, NON_IDEMPOTENT};
@@ -50,7 +51,7 @@
     fn send_until_held_back(&mut self) -> TcpStream {
         let chunk = encode_chunk(&vec![b'x'; CHUNK_BYTES]);
         self.client.write_bytes(&chunk);
-        let mut server = self.listener.accept().unwrap().0;
+        let mut server = accept(&self.listener);
         read_head(&mut server);
         for _ in 0..MAX_CHUNKS {
             if !self.gateway.reads_all_from(&self.client) {
@@ -112,7 +113,7 @@
 fn request_with_an_unfinished_body_is_answered_at_shutdown() {
     let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
     rig.client.write_bytes(&encode_chunk(&vec![b'x'; CHUNK_BYTES]));
-    let mut server = rig.listener.accept().unwrap().0;
+    let mut server = accept(&rig.listener);
     read_head(&mut server);
     rig.gateway.terminate();
     thread::spawn(move || server.read_to_end(&mut Vec::new()));
--- a/crates/gateway/tests/loopback/rig/chunks.rs
+++ b/crates/gateway/tests/loopback/rig/chunks.rs
@@ -1,7 +1,6 @@
 //! Chunks of message bodies whose length is not known in advance.
 
 use std::io::{BufRead, BufReader, Read};
-use std::net::TcpStream;
 
 /// Returns a chunk with its length.
 pub fn encode_chunk(data: &[u8]) -> Vec<u8> {
@@ -9,7 +8,7 @@
 }
 
 /// Appends the next chunk to a body. Returns false at the last chunk.
-pub fn read_chunk(reader: &mut BufReader<TcpStream>, body: &mut Vec<u8>) -> bool {
+pub fn read_chunk(reader: &mut BufReader<impl Read>, body: &mut Vec<u8>) -> bool {
     let mut line = String::new();
     reader.read_line(&mut line).unwrap();
     let length = usize::from_str_radix(line.trim_end(), 16).expect("a chunk begins with its length");
--- a/crates/gateway/tests/loopback/rig/client.rs
+++ b/crates/gateway/tests/loopback/rig/client.rs
@@ -31,6 +31,11 @@
         self.0.get_mut().write_all(data).unwrap();
     }
 
+    /// Sends raw bytes unchanged. Returns whether the gateway took all of them.
+    pub fn try_write_bytes(&mut self, data: &[u8]) -> bool {
+        self.0.get_mut().write_all(data).is_ok()
+    }
+
     /// Shuts down the sending half of the connection.
     pub fn shutdown_write(&self) {
         self.0.get_ref().shutdown(Shutdown::Write).unwrap();
--- a/crates/gateway/tests/loopback/rig/mod.rs
+++ b/crates/gateway/tests/loopback/rig/mod.rs
@@ -5,6 +5,7 @@
 //! [`GatewayProcess`](gateway_process::GatewayProcess)es from them. Tests wait for events instead of fixed
 //! times.
 
+pub mod accept;
 pub mod chunks;
 pub mod client;
 pub mod deployment;
