Tell zones apart that the settings do not list

Callers saw: a keyed request of scope zone could run in two zones that discovery lists and the settings do not.

Cause: zone_index gave all unlisted zones one index, so that Selection::may_use took them for the zone of the first attempt.

Change: an unlisted name has a number of its own, a hash of the name; servers without a zone still share one.

Measured: keyed_request_is_not_retried_between_zones_that_the_settings_do_not_list failed on the code before ("the request ran in both zones"), passes now.

--- a/crates/gateway/src/control/endpoint_list.rs
+++ b/crates/gateway/src/control/endpoint_list.rs
@@ -13,6 +13,8 @@
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 /// Prime of the 64-bit FNV-1a hash.
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
+/// Lowest number of a zone that the settings do not list.
+const FIRST_UNLISTED_ZONE: u32 = 1 << 31;
 
 /// Server of the endpoint list, with its network address.
 #[derive(Clone, Debug)]
@@ -97,7 +99,7 @@
             state: self.state.into(),
             started_at: self.started_at(),
             relative_size: non_negative(self.relative_size).unwrap_or(1.0),
-            zone: zone_index(&self.zone, names),
+            zone: zone_number(&self.zone, names),
             cell: non_negative(self.cell).unwrap_or(0.0) as u32,
         };
         ListedEndpoint { address: self.address, endpoint }
@@ -120,10 +122,14 @@
     }
 }
 
-/// Returns the index of a zone in the settings. All zones missing from the settings share the next index.
-fn zone_index(zone: &str, names: &WireNames) -> u32 {
-    let index = names.zones.iter().position(|name| name == zone);
-    index.unwrap_or(names.zones.len()) as u32
+/// Returns the number of a zone: its index in the settings, or else a number that is different for each name.
+/// Servers without a zone share the index after the last.
+fn zone_number(zone: &str, names: &WireNames) -> u32 {
+    match names.zones.iter().position(|name| name == zone) {
+        Some(index) => index as u32,
+        None if zone.is_empty() => names.zones.len() as u32,
+        None => FIRST_UNLISTED_ZONE | fnv_1a(zone) as u32,
+    }
 }
 
 /// Returns the number if it is finite and not negative.
@@ -133,6 +139,11 @@
 
 /// Returns the FNV-1a hash of a server's name, which identifies the server at every gateway.
 fn server_id(name: &str) -> ServerId {
+    ServerId(fnv_1a(name))
+}
+
+/// Returns the 64-bit FNV-1a hash of a text.
+fn fnv_1a(text: &str) -> u64 {
     let add_byte = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-    ServerId(name.bytes().fold(FNV_OFFSET_BASIS, add_byte))
+    text.bytes().fold(FNV_OFFSET_BASIS, add_byte)
 }
--- a/crates/gateway/tests/loopback/servers.rs
+++ b/crates/gateway/tests/loopback/servers.rs
@@ -42,6 +42,20 @@
     }
 }
 
+/// Guards against zones that are taken for one: the settings list neither of the two, and a request that may have run
+/// in one of them must not run in the other.
+#[test]
+fn keyed_request_is_not_retried_between_zones_that_the_settings_do_not_list() {
+    let first = Server::start(|_| Reply::RawThenClose(""));
+    let other = Server::start(|_| Reply::RawThenClose(""));
+    let endpoints = [("s-1", &first, "room-x"), ("s-2", &other, "room-y")]
+        .map(|(name, server, zone)| Endpoint::ready(name, server.address).in_zone(zone));
+    let gateway = Deployment::new(endpoints.to_vec()).start();
+    assert_eq!(gateway.connect().call(&keyed_request("x")).status(), 502);
+    let ran_at = [&first, &other].map(|server| !server.unread_requests().is_empty());
+    assert_ne!(ran_at, [true, true], "the request ran in both zones");
+}
+
 /// An attempt whose response is truncated has failed, and an idempotent request is retried.
 #[test]
 fn truncated_response_is_retried_and_never_returned() {
