Answer a client that stops in its long body within the time for bad clients

Callers saw: a client that stops in the middle of a body of more than 64 KiB and stays was answered after 15 s, where 3 s are owed.

Cause: StallTimeoutBody had one timeout of 15 s for responses of servers and for bodies of clients.

Change: each owner states its own: 2.5 s for a client's body, as REQUEST_READ_TIMEOUT has it for short requests.

--- a/crates/gateway/src/bodies/download.rs
+++ b/crates/gateway/src/bodies/download.rs
@@ -7,12 +7,16 @@
 use hyper::body::{Frame, Incoming, SizeHint};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
 /// Maximum size of a chunk of a buffered body that is passed to hyper, which would copy all of a longer one
 /// and keep the buffer for it.
 const MAX_CHUNK_BYTES: usize = 16 << 10;
 
+/// Maximum time without data from a server.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// The body of a response.
 pub enum ResponseContent {
     Buffered(Bytes),
@@ -73,7 +77,7 @@
     ) -> Box<Download> {
         Box::new(Download {
             buffered,
-            remainder: StallTimeoutBody::new(remainder),
+            remainder: StallTimeoutBody::new(remainder, STALL_TIMEOUT),
             connection,
             on_complete: Some(on_complete),
             _body_memory: body_memory,
--- a/crates/gateway/src/bodies/stall.rs
+++ b/crates/gateway/src/bodies/stall.rs
@@ -10,13 +10,12 @@
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// Maximum time without data from the sender before the body fails.
-const STALL_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// A body that fails if it is waited for and its sender sends no data for [`STALL_TIMEOUT`].
+/// A body that fails if it is waited for and its sender sends no data for the stall timeout.
 pub struct StallTimeoutBody {
     body: Incoming,
-    /// Expires [`STALL_TIMEOUT`] after the wait for the sender began.
+    /// Maximum time without data from the sender while it is waited for.
+    stall_timeout: Duration,
+    /// Expires `stall_timeout` after the wait for the sender began.
     stall_timer: Pin<Box<Sleep>>,
     /// Whether the last poll found no data, so that the sender is being waited for.
     awaits_sender: bool,
@@ -24,8 +23,9 @@
 
 impl StallTimeoutBody {
     /// Wraps a body that nobody waits for yet.
-    pub fn new(body: Incoming) -> StallTimeoutBody {
-        StallTimeoutBody { body, stall_timer: Box::pin(sleep(STALL_TIMEOUT)), awaits_sender: false }
+    pub fn new(body: Incoming, stall_timeout: Duration) -> StallTimeoutBody {
+        let stall_timer = Box::pin(sleep(stall_timeout));
+        StallTimeoutBody { body, stall_timeout, stall_timer, awaits_sender: false }
     }
 
     /// Returns whether all data that the sender has sent so far has been taken and more is being waited for.
@@ -42,7 +42,7 @@
     pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Frame<Bytes>>, BodyError>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
             if !std::mem::replace(&mut self.awaits_sender, true) {
-                self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                self.stall_timer.as_mut().reset(Instant::now() + self.stall_timeout);
             }
             ready!(self.stall_timer.as_mut().poll(cx));
             return Poll::Ready(Err(BodyError::Stalled));
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -16,6 +16,9 @@
 use std::time::{Duration, Instant};
 use tokio::time::{sleep_until, Sleep};
 
+/// Maximum time without data from a client in the middle of its body. A client that stops there must get its answer
+/// within 3 s, as must one that stops in a short request.
+const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time from the beginning of an attempt within which a server that rejects a request on its head does so. Until
 /// then, no part of the body is forwarded that could not be sent again.
 const REJECTION_GRACE: Duration = Duration::from_millis(20);
@@ -88,7 +91,9 @@
         Upload {
             buffered: body.buffered,
             replay: RefCell::new(replay),
-            remainder: RefCell::new(body.remainder.map(StallTimeoutBody::new)),
+            remainder: RefCell::new(
+                body.remainder.map(|remainder| StallTimeoutBody::new(remainder, STALL_TIMEOUT)),
+            ),
             length,
             state: Cell::new(state),
             last_taken_at: Cell::new(Instant::now()),
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -19,6 +19,8 @@
 const LONG_TIMEOUT_MS: u64 = 60_000;
 /// Time from the end of the client timeout to the latest answer: half a second, and 50 ms as on all time limits.
 const ANSWER_SLACK: Duration = Duration::from_millis(550);
+/// Time from its connecting within which a client that sends no complete request gets an error.
+const BAD_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Length of a chunk of a body.
 const CHUNK_BYTES: usize = 256 << 10;
 /// Maximum number of chunks of a body. Together they exceed the system's buffers on the way to a server.
@@ -138,3 +140,19 @@
         thread::yield_now();
     }
 }
+
+/// Guards against a client that stops in the middle of a long body and keeps its connection: nobody answered it for
+/// 15 s, while one that stops in a short body is answered within 3 s of its connecting.
+#[test]
+fn client_that_stops_in_its_long_body_is_answered_within_the_time_for_bad_clients() {
+    let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
+    let began_at = Instant::now();
+    rig.client.write_bytes(&encode_chunk(&vec![b'x'; CHUNK_BYTES]));
+    let mut server = accept(&rig.listener);
+    read_head(&mut server);
+    thread::spawn(move || server.read_to_end(&mut Vec::new()));
+    let status = rig.client.expect_response().status();
+    assert!((400..600).contains(&status), "{status}");
+    let elapsed = began_at.elapsed();
+    assert!(elapsed <= BAD_CLIENT_TIMEOUT, "{elapsed:?}");
+}
