Do not count a request's time while its client is still sending the body

Callers saw: 429 for a request with a long body that a server rejected more than a client timeout after its beginning, though its client was still sending.

Cause: Request::deadline and the latency objective, and PendingRequest::deadline, counted from the arrival of the beginning, so is_attempt_allowed, select by latency and may_start_attempt refused a further attempt.

--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -194,9 +194,7 @@
             return;
         };
         request.body_incomplete = false;
-        let client_timeout = request.deadline - request.arrived_at;
-        request.arrived_at = now.saturating_sub(age);
-        request.deadline = (request.arrived_at + client_timeout).min(self.shutdown_deadline);
+        request.restart_client_timeout(now.saturating_sub(age), self.shutdown_deadline);
         actions.push(Action::Timer { at: request.deadline, timer: Timer::RequestDeadline(id).into() });
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.in_flight) {
             attempt.sent_at = now;
--- a/crates/core/src/attempts/outcome.rs
+++ b/crates/core/src/attempts/outcome.rs
@@ -51,6 +51,9 @@
             self.attempt_timeouts.record(request.class, latency_objective, completed.elapsed);
         }
         let server = attempt.server;
+        if request.body_incomplete {
+            request.restart_client_timeout(now, self.shutdown_deadline);
+        }
         let is_request_finished = report.request_finished || request.finished;
         self.load.record_completion(
             now,
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -49,7 +49,7 @@
     pub response_started: bool,
     /// Whether part of the body was forwarded without being buffered, which rules out further attempts.
     pub body_consumed: bool,
-    /// Whether part of the body has not been received yet.
+    /// Whether part of the body has not been forwarded yet, so that the client timeout has not begun.
     pub body_incomplete: bool,
     /// Whether the request has its final answer or its client disconnected.
     pub finished: bool,
@@ -74,6 +74,13 @@
         self.first_attempt_that_may_take_effect()?.deduplication_site
     }
 
+    /// Restarts the client timeout at the arrival of a part of the body, at most until `latest_deadline`.
+    pub fn restart_client_timeout(&mut self, arrived_at: Micros, latest_deadline: Micros) {
+        let client_timeout = self.deadline.saturating_sub(self.arrived_at);
+        self.arrived_at = arrived_at;
+        self.deadline = (arrived_at + client_timeout).min(latest_deadline);
+    }
+
     /// Returns whether an attempt has no outcome yet.
     pub fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.in_flight)
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -3,13 +3,13 @@
 mod common;
 
 use common::actions::{forwarded_to, is_failed, is_rejected};
-use common::events::{endpoint_delta, endpoint_snapshot};
+use common::events::{arrival, endpoint_delta, endpoint_snapshot};
 use common::settings::{class, endpoint, settings};
 use common::test_gateway::TestGateway;
 use common::{MILLISECOND, SECOND};
 use grebehook_core::{
     Action, AttemptStatus, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency, NonZeroMicros,
-    RequestId, ServerId,
+    RequestArrival, RequestId, ServerId,
 };
 
 /// Idempotency key that the servers of one zone remember together for half a second.
@@ -168,3 +168,17 @@
         }
     }
 }
+
+/// Guards against a rejection of a request whose client is still sending its body, and whose client timeout has not
+/// begun.
+#[test]
+fn request_with_an_incomplete_body_is_retried_after_more_than_its_client_timeout() {
+    let mut gateway = TestGateway::new(settings(), &[endpoint(1, 0), endpoint(2, 0)]);
+    let arrival = RequestArrival { body_incomplete: true, ..arrival(1, 5) };
+    let (id, client_timeout) = (arrival.id, arrival.client_timeout);
+    let actions = gateway.handle(Event::RequestArrived(arrival));
+    let first = forwarded_to(&actions).expect("the request is forwarded at once");
+    gateway.now += 2 * client_timeout;
+    let actions = gateway.complete_attempt(id, 0, first, AttemptStatus::Rejected);
+    assert!(forwarded_to(&actions).is_some_and(|server| server != first), "{actions:?}");
+}
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -53,7 +53,7 @@
     /// Request that is forwarded to servers.
     pub outgoing: Rc<OutgoingRequest>,
     /// Time at which the client stops waiting. While the body has not been forwarded completely, the time at
-    /// which it would if the request had arrived completely at its submission.
+    /// which it would if the request had arrived completely at its submission or newest attempt.
     pub deadline: Micros,
     /// Time for which the client waits after the arrival of the request's last byte.
     client_timeout: Micros,
@@ -72,8 +72,12 @@
 }
 
 impl PendingRequest {
-    /// Returns whether an attempt may start now: only if none is in flight and the request has not ended.
-    pub fn may_start_attempt(&self, now: Micros) -> bool {
+    /// Returns whether an attempt may start now: only if none is in flight and the request has not ended. The
+    /// client timeout of a request whose body is incomplete has not begun.
+    pub fn may_start_attempt(&mut self, now: Micros) -> bool {
+        if self.outgoing.body.is_incomplete() {
+            self.deadline = now + self.client_timeout;
+        }
         self.in_flight.is_none() && self.answer.is_some() && now < self.deadline
     }
 
--- a/crates/gateway/tests/loopback/upload_attempts.rs
+++ b/crates/gateway/tests/loopback/upload_attempts.rs
@@ -23,6 +23,8 @@
 const MAX_ROUNDS: usize = 50;
 /// Length of the part that a client sends before the first attempt ends. The gateway buffers just this much.
 const FIRST_PART_BYTES: usize = (64 << 10) + 1;
+/// Time that is longer than the client timeout, and shorter than the time for a client that sends nothing.
+const OVER_CLIENT_TIMEOUT: Duration = Duration::from_millis(2_100);
 /// Length of a chunk of a chunked body.
 const CHUNK_BYTES: usize = 2 << 10;
 /// Response of a server that has not run the request.
@@ -232,3 +234,14 @@
         true
     })
 }
+
+/// Guards against a rejection of a request whose client is still sending its body, and whose client timeout has not
+/// begun.
+#[test]
+fn long_body_rejected_later_than_the_client_timeout_reaches_the_next_server_whole() {
+    let rig = UploadRig::start(Framing::Chunked);
+    let mut rejecting = rig.next_attempt();
+    thread::sleep(OVER_CLIENT_TIMEOUT);
+    rejecting.write_all(REJECTED.as_bytes()).unwrap();
+    rig.assert_next_attempt_is_whole();
+}
