--- a/crates/gateway/tests/loopback/long_bodies.rs
+++ b/crates/gateway/tests/loopback/long_bodies.rs
@@ -3,7 +3,7 @@
 use crate::rig::client::Client;
 use crate::rig::deployment::Deployment;
 use crate::rig::gateway_process::GatewayProcess;
-use crate::rig::message::read_head;
+use crate::rig::message::{pattern, read_head};
 use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout, with_framing};
 use crate::rig::server::Server;
 use std::io::{ErrorKind, Read, Write};
@@ -16,11 +16,6 @@
 /// Short successful response. Its lines end in a bare line feed, which the gateway accepts from servers.
 const DONE: &[u8] = b"HTTP/1.1 200 OK\nContent-Length: 4\n\ndone";
 
-/// Returns bytes that reveal a gap or a repetition.
-fn pattern(length: usize) -> Vec<u8> {
-    (0..length).map(|position| (position / 251 + position) as u8).collect()
-}
-
 /// A gateway with one client, and a listener on which the test itself acts as the server.
 struct StreamRig {
     /// Accepts the gateway's connections.
--- a/crates/gateway/tests/loopback/rig/message.rs
+++ b/crates/gateway/tests/loopback/rig/message.rs
@@ -67,3 +67,8 @@
     }
     String::from_utf8(head).unwrap()
 }
+
+/// Returns the bytes of a body, which reveal a gap or a repetition.
+pub fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|position| (position / 251 + position) as u8).collect()
+}
--- a/crates/gateway/tests/loopback/upload_attempts.rs
+++ b/crates/gateway/tests/loopback/upload_attempts.rs
@@ -6,7 +6,7 @@
 use crate::rig::client::Client;
 use crate::rig::deployment::Deployment;
 use crate::rig::gateway_process::GatewayProcess;
-use crate::rig::message::read_head;
+use crate::rig::message::{pattern, read_head};
 use crate::rig::request::{non_idempotent_request, with_framing};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -84,11 +84,6 @@
     }
 }
 
-/// Returns bytes that reveal a gap or a repetition.
-fn pattern(length: usize) -> Vec<u8> {
-    (0..length).map(|position| (position / 251 + position) as u8).collect()
-}
-
 /// A gateway with a client that sends a long body, and a listener on which the test acts as the server.
 struct UploadRig {
     listener: TcpListener,
