--- a/crates/gateway/tests/loopback/rig/gateway_process.rs
+++ b/crates/gateway/tests/loopback/rig/gateway_process.rs
@@ -110,8 +110,18 @@
 
     /// Returns the resident memory of the process in KiB.
     pub fn resident_kib(&self) -> u64 {
+        self.memory_kib("VmRSS:")
+    }
+
+    /// Returns the most resident memory that the process has had, in KiB.
+    pub fn peak_resident_kib(&self) -> u64 {
+        self.memory_kib("VmHWM:")
+    }
+
+    /// Returns an amount of memory in `/proc/PID/status`, in KiB.
+    fn memory_kib(&self, field: &str) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = text.lines().find_map(|line| line.strip_prefix(field)).unwrap();
         line.split_whitespace().next().unwrap().parse().unwrap()
     }
 
--- a/crates/gateway/tests/loopback/rig/mod.rs
+++ b/crates/gateway/tests/loopback/rig/mod.rs
@@ -6,8 +6,10 @@
 //! times.
 
 pub mod accept;
+pub mod bulk_server;
 pub mod chunks;
 pub mod client;
+pub mod crowd;
 pub mod deployment;
 pub mod discovery_agent;
 pub mod endpoint;
--- a/crates/gateway/tests/loopback/rig/request.rs
+++ b/crates/gateway/tests/loopback/rig/request.rs
@@ -58,3 +58,8 @@
 pub fn with_framing(request: &str, framing: &str) -> String {
     request.replace("Content-Length: 0", framing)
 }
+
+/// Returns the request with further header lines, each of which ends in a line break.
+pub fn with_header_lines(request: &str, lines: &str) -> String {
+    request.replacen("Host: service.internal\r\n", &format!("Host: service.internal\r\n{lines}"), 1)
+}
--- /dev/null
+++ b/crates/gateway/tests/loopback/slow_answers.rs
@@ -0,0 +1,153 @@
+//! Long answers of unknown length that a server is still writing when the client's time is over. A client waits no
+//! longer than that for the first bytes of a long answer, and then for as long as its server goes on.
+
+use crate::rig::accept::accept;
+use crate::rig::chunks::{encode_chunk, read_chunk};
+use crate::rig::deployment::Deployment;
+use crate::rig::message::{pattern, read_head};
+use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout};
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time for which clients wait for their answer.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time from the end of the client timeout to the latest end of an answer that does not go on.
+const ANSWER_SLACK: Duration = Duration::from_millis(550);
+/// Length of a long answer.
+const LONG_ANSWER_BYTES: usize = 160 << 10;
+/// Interval between the pieces of an answer.
+const PIECE_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between the lumps of an answer.
+const LUMP_INTERVAL: Duration = Duration::from_millis(250);
+/// Bytes a second that a slow server writes.
+const SLOW_SERVER_RATE: usize = 100_000;
+
+/// How a server ends the body of an answer.
+#[derive(Clone, Copy, PartialEq)]
+enum Framing {
+    Chunked,
+    /// The end of the connection ends the body.
+    Close,
+}
+
+impl Framing {
+    /// Returns the head of an answer.
+    fn head(self) -> &'static str {
+        match self {
+            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            Framing::Close => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        }
+    }
+
+    /// Returns a piece of the body in the form in which it is written.
+    fn encode(self, piece: &[u8]) -> Vec<u8> {
+        match self {
+            Framing::Chunked => encode_chunk(piece),
+            Framing::Close => piece.to_vec(),
+        }
+    }
+}
+
+/// A client whose request has been sent, and the server's connection with its answer's head written.
+struct SlowAnswer {
+    server: TcpStream,
+    client: BufReader<TcpStream>,
+    sent_at: Instant,
+    _gateway: crate::rig::gateway_process::GatewayProcess,
+}
+
+impl SlowAnswer {
+    /// Sends a request and lets its server write the head of an answer.
+    fn begin(request: &str, framing: Framing) -> SlowAnswer {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let gateway = Deployment::with_endpoint(listener.local_addr().unwrap()).start();
+        let mut client = TcpStream::connect(gateway.address).unwrap();
+        let timeout_ms = CLIENT_TIMEOUT.as_millis() as u64;
+        client.write_all(with_client_timeout(request, timeout_ms).as_bytes()).unwrap();
+        let sent_at = Instant::now();
+        let mut server = accept(&listener);
+        read_head(&mut server);
+        server.set_nodelay(true).unwrap();
+        server.write_all(framing.head().as_bytes()).unwrap();
+        client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        SlowAnswer { server, client: BufReader::new(client), sent_at, _gateway: gateway }
+    }
+
+    /// Returns the client's status line and the time after which it came.
+    fn read_status(&mut self) -> (String, Duration) {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            self.client.read_exact(&mut byte).unwrap();
+            line.push(byte[0]);
+        }
+        (String::from_utf8(line).unwrap(), self.sent_at.elapsed())
+    }
+
+    /// Reads the rest of the head and a chunked body. Panics if the body is not whole.
+    fn read_body(&mut self) -> Vec<u8> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.client.read_exact(&mut byte).unwrap();
+            head.push(byte[0]);
+        }
+        let mut body = Vec::new();
+        while read_chunk(&mut self.client, &mut body) {}
+        body
+    }
+}
+
+/// Lets a server write a long answer in pieces, and asserts that its client gets the first bytes in time and all of
+/// them in the end.
+fn assert_long_answer_is_whole(request: &str, framing: Framing, interval: Duration) {
+    let mut answer = SlowAnswer::begin(request, framing);
+    let body = pattern(LONG_ANSWER_BYTES);
+    let piece_bytes = SLOW_SERVER_RATE * interval.as_millis() as usize / 1_000;
+    let pieces: Vec<Vec<u8>> = body.chunks(piece_bytes).map(|piece| framing.encode(piece)).collect();
+    let mut server = answer.server.try_clone().unwrap();
+    let writer = thread::spawn(move || {
+        for piece in pieces {
+            server.write_all(&piece)?;
+            thread::sleep(interval);
+        }
+        if framing == Framing::Chunked {
+            server.write_all(b"0\r\n\r\n")?;
+        }
+        server.shutdown(std::net::Shutdown::Write)
+    });
+    let (status, elapsed) = answer.read_status();
+    assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+    assert!(elapsed <= CLIENT_TIMEOUT, "{elapsed:?}");
+    assert!(answer.read_body() == body, "the answer differs from the one that the server wrote");
+    writer.join().unwrap().unwrap();
+}
+
+#[test]
+fn long_answer_of_unknown_length_that_outlasts_the_client_timeout_is_not_cut_off() {
+    for framing in [Framing::Chunked, Framing::Close] {
+        for interval in [PIECE_INTERVAL, LUMP_INTERVAL] {
+            assert_long_answer_is_whole(&non_idempotent_request("x"), framing, interval);
+            assert_long_answer_is_whole(&idempotent_request(), framing, interval);
+        }
+    }
+}
+
+/// A server that hangs in a short answer: what its client gets shows that the answer is not whole.
+#[test]
+fn answer_whose_server_stops_is_ended_soon_after_the_client_timeout() {
+    let mut answer = SlowAnswer::begin(&non_idempotent_request("x"), Framing::Chunked);
+    answer.server.write_all(&encode_chunk(b"half")).unwrap();
+    let (status, _) = answer.read_status();
+    if status.starts_with("HTTP/1.1 200") {
+        let mut text = Vec::new();
+        let _ = answer.client.read_to_end(&mut text);
+        assert!(!text.ends_with(b"0\r\n\r\n"), "the client takes the answer for whole");
+    } else {
+        assert!(status.starts_with("HTTP/1.1 502"), "{status}");
+    }
+    let elapsed = answer.sent_at.elapsed();
+    assert!(elapsed <= CLIENT_TIMEOUT + ANSWER_SLACK, "{elapsed:?}");
+}
