Pass a long answer on while its server is still writing at the client's time

Cause: Upstream::read_response_body buffers an answer of unknown length up to 64 KiB before it passes anything on, and the attempt's timeout, or the decision core's at the client's deadline, aborts the attempt meanwhile. A client waits for the first bytes of a long answer only. Class of the fault: a deadline that waits for a whole answer where its beginning is owed. The same elsewhere: with all permits for streaming taken (61 at 32 MB), a long answer waited for one until it was aborted; and a short body of a request waited for 64 KiB of memory at once. Change: an answer of unknown length whose server wrote within the last 0.45 s is passed on 50 ms before its attempt would time out. From then on it has to go on: below 64 KiB it ends once it is 0.45 s late and its server pauses for as long or is slower than 32 kB/s; its client sees that it is not whole. A short answer of known length is never passed on for this. Buffers for the beginning of a body grow in blocks while memory is left and otherwise the body is forwarded as it arrives; nobody waits for memory to forward an answer. A request's body reserves the memory for forwarding it before it is read, and is refused (503) where there is none until the time for bad clients.

--- a/crates/gateway/src/bodies/download.rs
+++ b/crates/gateway/src/bodies/download.rs
@@ -1,25 +1,23 @@
 //! The body of a response as it is sent to the client.
 
+use crate::bodies::block_buffer::{split_block, BlockBuffer};
 use crate::bodies::error::BodyError;
+use crate::bodies::late_answer::{AnswerProgress, ClientDeadline, LateAnswerLimit};
+use crate::bodies::memory::Reservation;
 use crate::bodies::stall::StallTimeoutBody;
 use crate::servers::connection::ServerConnection;
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
-
-/// Maximum size of a chunk of a buffered body that is passed to hyper, which would copy all of a longer one
-/// and keep the buffer for it.
-const MAX_CHUNK_BYTES: usize = 16 << 10;
+use std::time::{Duration, Instant};
 
 /// Maximum time without data from a server.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The body of a response.
 pub enum ResponseContent {
-    Buffered(Bytes),
+    Buffered(BufferedContent),
     /// Forwarded as it arrives.
     Streamed(Box<Download>),
 }
@@ -28,8 +26,7 @@
     /// Polls for the next chunk of the body; `None` marks the end.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         match self {
-            ResponseContent::Buffered(data) if data.is_empty() => Poll::Ready(None),
-            ResponseContent::Buffered(data) => Poll::Ready(Some(Ok(split_chunk(data)))),
+            ResponseContent::Buffered(content) => Poll::Ready(content.data.remove_first().map(Ok)),
             ResponseContent::Streamed(download) => download.poll_chunk(cx),
         }
     }
@@ -37,62 +34,117 @@
     /// Returns whether no part of the body is left.
     pub fn is_complete(&self) -> bool {
         match self {
-            ResponseContent::Buffered(data) => data.is_empty(),
-            ResponseContent::Streamed(download) => download.on_complete.is_none(),
+            ResponseContent::Buffered(content) => content.data.is_empty(),
+            ResponseContent::Streamed(download) => {
+                download.on_complete.is_none() && download.frame.is_empty()
+            }
         }
     }
 
     /// Returns the length of the rest of the body, where it is known.
     pub fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseContent::Buffered(data) => SizeHint::with_exact(data.len() as u64),
+            ResponseContent::Buffered(content) => SizeHint::with_exact(content.data.len() as u64),
             ResponseContent::Streamed(download) => download.size_hint(),
         }
     }
 }
 
+/// A complete body.
+#[derive(Default)]
+pub struct BufferedContent {
+    /// The part that has not been passed on yet.
+    pub data: BlockBuffer,
+    /// The memory of the body; `None` for a very short one.
+    _reservation: Option<Reservation>,
+}
+
+impl BufferedContent {
+    /// Creates a body from its data and the memory reserved for it.
+    pub fn new(data: BlockBuffer, reservation: Option<Reservation>) -> BufferedContent {
+        BufferedContent { data, _reservation: reservation }
+    }
+}
+
+/// The beginning of a body whose server is still sending the rest.
+pub struct ReceivedBeginning {
+    /// The part that has been read.
+    pub buffered: BlockBuffer,
+    /// The memory of `buffered`; `None` if it is very short.
+    pub reservation: Option<Reservation>,
+    /// The part that the server is still sending.
+    pub remainder: Incoming,
+    /// Length of the whole body, where it is known.
+    pub length: Option<u64>,
+    /// Time at which the head of the response was received.
+    pub head_received_at: Instant,
+}
+
 /// A streamed response body. If it is dropped before its end, the connection to the server is closed.
 pub struct Download {
     /// The unsent part of the prefix that was read before streaming began.
-    buffered: Bytes,
+    buffered: BlockBuffer,
+    /// The part of the last frame of `remainder` that has not been passed on.
+    frame: Bytes,
     /// The part that the server is still sending.
     remainder: StallTimeoutBody,
     /// The connection to the server.
     connection: Rc<ServerConnection>,
     /// Returns the connection to its pool once the body is complete; `None` from then on.
     on_complete: Option<Box<dyn FnOnce()>>,
-    /// Reserved memory for streaming.
-    _body_memory: OwnedSemaphorePermit,
+    /// Length of the whole body, where it is known.
+    length: Option<u64>,
+    /// Number of bytes of the body that the server has sent.
+    received: u64,
+    /// Time for which the server was waited for before streaming began.
+    waited_before: Duration,
+    /// Ends the body if it is late and does not go on.
+    late_limit: LateAnswerLimit,
+    /// The memory of the prefix.
+    reservation: Option<Reservation>,
 }
 
 impl Download {
-    /// Creates a body from its buffered prefix and the remainder on the connection. `on_complete` is called
+    /// Creates a body from its beginning and the connection on which the rest arrives. `on_complete` is called
     /// once all of the body has arrived.
     pub fn new(
-        buffered: Bytes,
-        remainder: Incoming,
+        beginning: ReceivedBeginning,
         connection: Rc<ServerConnection>,
+        client_deadline: ClientDeadline,
         on_complete: Box<dyn FnOnce()>,
-        body_memory: OwnedSemaphorePermit,
     ) -> Box<Download> {
         Box::new(Download {
-            buffered,
-            remainder: StallTimeoutBody::new(remainder, STALL_TIMEOUT),
+            received: beginning.buffered.len() as u64,
+            waited_before: beginning.head_received_at.elapsed(),
+            buffered: beginning.buffered,
+            frame: Bytes::new(),
+            remainder: StallTimeoutBody::new(beginning.remainder, STALL_TIMEOUT),
             connection,
             on_complete: Some(on_complete),
-            _body_memory: body_memory,
+            length: beginning.length,
+            late_limit: LateAnswerLimit::new(client_deadline),
+            reservation: beginning.reservation,
         })
     }
 
     /// Polls for the next chunk of the body; `None` marks the end.
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        if !self.buffered.is_empty() {
-            return Poll::Ready(Some(Ok(split_chunk(&mut self.buffered))));
+        if let Some(block) = self.buffered.remove_first() {
+            return Poll::Ready(Some(Ok(block)));
+        }
+        self.reservation = None;
+        if !self.frame.is_empty() {
+            return Poll::Ready(Some(Ok(split_block(&mut self.frame))));
         }
         loop {
-            let frame = match ready!(self.remainder.poll_frame(cx)) {
-                Ok(frame) => frame,
-                Err(error) => return Poll::Ready(Some(Err(error))),
+            let frame = match self.remainder.poll_frame(cx) {
+                Poll::Ready(Ok(frame)) => frame,
+                Poll::Ready(Err(error)) => return Poll::Ready(Some(Err(error))),
+                Poll::Pending => {
+                    let progress = self.progress();
+                    ready!(self.late_limit.poll_end(progress, cx));
+                    return Poll::Ready(Some(Err(BodyError::Late)));
+                }
             };
             // hyper stops reading at the announced length, so the last data frame must be recognized as the
             // end.
@@ -100,7 +152,11 @@
                 self.complete();
             }
             match frame.map(Frame::into_data) {
-                Some(Ok(data)) => return Poll::Ready(Some(Ok(data))),
+                Some(Ok(data)) => {
+                    self.received += data.len() as u64;
+                    self.frame = data;
+                    return Poll::Ready(Some(Ok(split_block(&mut self.frame))));
+                }
                 // Trailers are not forwarded.
                 Some(Err(_)) => {}
                 None => return Poll::Ready(None),
@@ -108,6 +164,16 @@
         }
     }
 
+    /// Returns how far the server has come with the body.
+    fn progress(&self) -> AnswerProgress {
+        AnswerProgress {
+            length: self.length,
+            received: self.received,
+            waited: self.waited_before + self.remainder.waited(),
+            pause: self.connection.time_since_read(),
+        }
+    }
+
     /// Calls `on_complete` when the whole body has arrived; further calls have no effect.
     fn complete(&mut self) {
         if let Some(on_complete) = self.on_complete.take() {
@@ -118,7 +184,10 @@
     /// Returns the length of the rest of the body, where it is known.
     fn size_hint(&self) -> SizeHint {
         match self.remainder.size_hint().exact() {
-            Some(remaining) => SizeHint::with_exact(remaining + self.buffered.len() as u64),
+            Some(remaining) => {
+                let unsent = self.buffered.len() + self.frame.len();
+                SizeHint::with_exact(remaining + unsent as u64)
+            }
             None => SizeHint::default(),
         }
     }
@@ -131,8 +200,3 @@
         }
     }
 }
-
-/// Splits the next chunk off buffered data.
-fn split_chunk(data: &mut Bytes) -> Bytes {
-    data.split_to(data.len().min(MAX_CHUNK_BYTES))
-}
--- a/crates/gateway/src/bodies/error.rs
+++ b/crates/gateway/src/bodies/error.rs
@@ -11,6 +11,9 @@
     /// The sender sent no data within the stall timeout.
     #[error("body stalled: no data from its sender within the stall timeout")]
     Stalled,
+    /// The client's time was over, and the sender did not go on with a long answer.
+    #[error("answer was not whole when the client's time was over")]
+    Late,
     /// An earlier attempt has forwarded part of the body, which is not retained.
     #[error("body has already been forwarded by an earlier attempt")]
     AlreadyForwarded,
--- a/crates/gateway/src/bodies/replay_buffer.rs
+++ b/crates/gateway/src/bodies/replay_buffer.rs
@@ -1,16 +1,14 @@
 //! The part of a streamed body that has been forwarded and is kept, so that a further attempt can send it again
 //! after a server has rejected the request.
 
+use crate::bodies::block_buffer::BlockBuffer;
 use crate::bodies::memory::{BodyMemory, Reservation};
 use crate::bodies::size::{MAX_BODY_FRAME_BYTES, MAX_REPLAYED_BODY_BYTES};
 use bytes::Bytes;
 
-/// Maximum length of a part that is sent again at a time.
-const MAX_CHUNK_BYTES: usize = 16 << 10;
-
 /// A buffer that grows while spare memory for request bodies is left, up to [`MAX_REPLAYED_BODY_BYTES`].
 pub struct ReplayBuffer {
-    data: Vec<u8>,
+    data: BlockBuffer,
     memory: BodyMemory,
     /// The memory of `data`.
     reservations: Vec<Reservation>,
@@ -19,7 +17,7 @@
 impl ReplayBuffer {
     /// Creates an empty buffer.
     pub fn new(memory: BodyMemory) -> ReplayBuffer {
-        ReplayBuffer { data: Vec::new(), memory, reservations: Vec::new() }
+        ReplayBuffer { data: BlockBuffer::default(), memory, reservations: Vec::new() }
     }
 
     /// Returns whether the buffer can take the next frame of a body, of any length. Grows if necessary.
@@ -27,19 +25,23 @@
         self.room() >= MAX_BODY_FRAME_BYTES || self.grow()
     }
 
+    /// Returns the number of bytes for which memory is reserved.
+    fn reserved(&self) -> usize {
+        self.reservations.len() * MAX_BODY_FRAME_BYTES
+    }
+
     /// Returns the number of bytes that the buffer can take without growing.
     fn room(&self) -> usize {
-        self.data.capacity() - self.data.len()
+        self.reserved() - self.data.len()
     }
 
     /// Grows by one frame. Returns false, without a change, at the limit or if too little memory is left.
     fn grow(&mut self) -> bool {
-        if self.data.capacity() + MAX_BODY_FRAME_BYTES > MAX_REPLAYED_BODY_BYTES {
+        if self.reserved() + MAX_BODY_FRAME_BYTES > MAX_REPLAYED_BODY_BYTES {
             return false;
         }
-        let Some(reservation) = self.memory.try_reserve_spare(MAX_BODY_FRAME_BYTES) else { return false };
+        let Some(reservation) = self.memory.try_reserve(MAX_BODY_FRAME_BYTES) else { return false };
         self.reservations.push(reservation);
-        self.data.reserve_exact(self.room() + MAX_BODY_FRAME_BYTES);
         true
     }
 
@@ -47,14 +49,13 @@
     pub fn append(&mut self, data: &[u8]) -> bool {
         let fits = self.room() >= data.len();
         if fits {
-            self.data.extend_from_slice(data);
+            self.data.append(data);
         }
         fits
     }
 
     /// Returns the next part from a position; `None` at the end.
     pub fn part_from(&self, position: usize) -> Option<Bytes> {
-        let rest = self.data.get(position..).filter(|rest| !rest.is_empty())?;
-        Some(Bytes::copy_from_slice(&rest[..rest.len().min(MAX_CHUNK_BYTES)]))
+        self.data.part_from(position)
     }
 }
--- a/crates/gateway/src/bodies/stall.rs
+++ b/crates/gateway/src/bodies/stall.rs
@@ -19,13 +19,24 @@
     stall_timer: Pin<Box<Sleep>>,
     /// Whether the last poll found no data, so that the sender is being waited for.
     awaits_sender: bool,
+    /// Time at which the current wait for the sender began, or the last one if there is none.
+    wait_began_at: Instant,
+    /// Total time of all waits for the sender that have ended.
+    waited: Duration,
 }
 
 impl StallTimeoutBody {
     /// Wraps a body that nobody waits for yet.
     pub fn new(body: Incoming, stall_timeout: Duration) -> StallTimeoutBody {
         let stall_timer = Box::pin(sleep(stall_timeout));
-        StallTimeoutBody { body, stall_timeout, stall_timer, awaits_sender: false }
+        StallTimeoutBody {
+            body,
+            stall_timeout,
+            stall_timer,
+            awaits_sender: false,
+            wait_began_at: Instant::now(),
+            waited: Duration::ZERO,
+        }
     }
 
     /// Returns whether all data that the sender has sent so far has been taken and more is being waited for.
@@ -35,19 +46,28 @@
 
     /// Ends the wait for the sender until the next poll, because the receiver has gone.
     pub fn stop_waiting(&mut self) {
-        self.awaits_sender = false;
+        if std::mem::replace(&mut self.awaits_sender, false) {
+            self.waited += self.wait_began_at.elapsed();
+        }
+    }
+
+    /// Returns the total time for which the sender has been waited for.
+    pub fn waited(&self) -> Duration {
+        let current = if self.awaits_sender { self.wait_began_at.elapsed() } else { Duration::ZERO };
+        self.waited + current
     }
 
     /// Polls for the next frame; `None` marks the end of the body.
     pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Frame<Bytes>>, BodyError>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
             if !std::mem::replace(&mut self.awaits_sender, true) {
-                self.stall_timer.as_mut().reset(Instant::now() + self.stall_timeout);
+                self.wait_began_at = Instant::now();
+                self.stall_timer.as_mut().reset(self.wait_began_at + self.stall_timeout);
             }
             ready!(self.stall_timer.as_mut().poll(cx));
             return Poll::Ready(Err(BodyError::Stalled));
         };
-        self.awaits_sender = false;
+        self.stop_waiting();
         Poll::Ready(frame.transpose().map_err(BodyError::Read))
     }
 
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -1,5 +1,6 @@
 //! The body of a client's request as it is sent to servers.
 
+use crate::bodies::block_buffer::{split_block, BlockBuffer};
 use crate::bodies::buffering::PartiallyReadBody;
 use crate::bodies::error::BodyError;
 use crate::bodies::memory::{BodyMemory, Reservation};
@@ -27,7 +28,7 @@
 /// number of times for as long as all that was forwarded of it is kept, afterwards only once.
 pub struct Upload {
     /// The part read before the first attempt.
-    buffered: Bytes,
+    buffered: BlockBuffer,
     /// The part of a streamed body that has been forwarded after `buffered`; `None` once it is no longer kept.
     replay: RefCell<Option<ReplayBuffer>>,
     /// The part that the client is still sending; present while `state` is `Receiving` or `Forwarding`.
@@ -42,7 +43,9 @@
     /// Called once all of a streamed body has been forwarded.
     on_forwarded: RefCell<Option<Box<dyn FnOnce()>>>,
     /// The memory of `buffered`; `None` for a very short body.
-    _reservation: Option<Reservation>,
+    _buffer_memory: Option<Reservation>,
+    /// The memory for forwarding a streamed body.
+    _forwarding_memory: Option<Reservation>,
 }
 
 /// Number of an attempt among those that began to send the body.
@@ -65,25 +68,25 @@
 }
 
 impl Upload {
-    /// Creates a body from its buffered prefix and the memory reserved for it. More of the body is kept in
-    /// spare `memory`.
+    /// Creates a body from its beginning and the memory for forwarding the rest, which is released if there is no rest.
+    /// More of the body is kept in spare `memory`.
     pub fn new(
         body: PartiallyReadBody,
         length: Option<u64>,
-        reservation: Option<Reservation>,
+        forwarding_memory: Option<Reservation>,
         memory: &BodyMemory,
     ) -> Upload {
-        let replay = body.remainder.is_some().then(|| ReplayBuffer::new(memory.clone()));
-        Upload { _reservation: reservation, ..Upload::with_replay(body, length, replay) }
+        let replay = body.remainder.is_some().then(|| ReplayBuffer::new(memory.spare()));
+        let forwarding_memory = forwarding_memory.filter(|_| body.remainder.is_some());
+        Upload { _forwarding_memory: forwarding_memory, ..Upload::with_replay(body, length, replay) }
     }
 
     /// Creates the body of a request that has none.
     pub fn empty() -> Upload {
-        let body = PartiallyReadBody { buffered: Bytes::new(), remainder: None };
-        Upload::with_replay(body, None, None)
+        Upload::with_replay(PartiallyReadBody::empty(), None, None)
     }
 
-    /// Creates a body for which no memory is reserved.
+    /// Creates a body with the buffer for what is kept of its remainder.
     fn with_replay(body: PartiallyReadBody, length: Option<u64>, replay: Option<ReplayBuffer>) -> Upload {
         let is_streamed = body.remainder.is_some();
         let length = if is_streamed { length } else { Some(body.buffered.len() as u64) };
@@ -99,7 +102,8 @@
             last_taken_at: Cell::new(Instant::now()),
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
-            _reservation: None,
+            _buffer_memory: body.reservation,
+            _forwarding_memory: None,
         }
     }
 
@@ -183,7 +187,7 @@
     /// Returns the next part of the body from a position, as far as it is kept.
     fn kept_part_from(&self, position: usize) -> Option<Bytes> {
         if position < self.buffered.len() {
-            return Some(self.buffered.slice(position..));
+            return self.buffered.part_from(position);
         }
         self.replay.borrow().as_ref()?.part_from(position - self.buffered.len())
     }
@@ -299,6 +303,8 @@
     attempt: AttemptNumber,
     /// Number of bytes of the body that the attempt has sent.
     position: usize,
+    /// The part of the newest data from the client that has not been passed to hyper.
+    rest: Bytes,
     /// Time at which the attempt began to use its connection.
     began_at: Instant,
     /// Expires [`REJECTION_GRACE`] after `began_at`; `None` until that is waited for.
@@ -314,6 +320,7 @@
             upload: upload.clone(),
             attempt: upload.begin_attempt(),
             position: 0,
+            rest: Bytes::new(),
             began_at: Instant::now(),
             rejection_timer: None,
             connection,
@@ -325,25 +332,38 @@
         if self.connection.is_closed() {
             return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
         }
-        let data = match self.upload.kept_part_from(self.position) {
-            Some(part) => Some(Ok(part)),
-            None => {
-                if !self.upload.keeps_next_data() {
-                    ready!(self.poll_rejection_grace(cx));
+        let data = if self.rest.is_empty() {
+            match self.upload.kept_part_from(self.position) {
+                Some(part) => Some(Ok(part)),
+                None => {
+                    if !self.upload.keeps_next_data() {
+                        ready!(self.poll_rejection_grace(cx));
+                    }
+                    let data = ready!(self.upload.poll_remainder(self.attempt, cx));
+                    data.map(|data| data.map(|data| self.keep_rest(data)))
                 }
-                ready!(self.upload.poll_remainder(self.attempt, cx))
             }
+        } else {
+            Some(Ok(split_block(&mut self.rest)))
         };
         if let Some(Ok(data)) = &data {
             self.position += data.len();
         }
-        if data.is_none() || self.upload.is_forwarded_by(self.attempt, self.position) {
+        let is_end = self.rest.is_empty() && self.upload.is_forwarded_by(self.attempt, self.position);
+        if data.is_none() || is_end {
             self.connection.record_body_end();
             self.upload.notify_forwarded();
         }
         Poll::Ready(data)
     }
 
+    /// Returns the first block of data and keeps the rest.
+    fn keep_rest(&mut self, mut data: Bytes) -> Bytes {
+        let first = split_block(&mut data);
+        self.rest = data;
+        first
+    }
+
     /// Waits until a server that rejects the request on its head has had the time to do so.
     fn poll_rejection_grace(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let grace_end = self.began_at + REJECTION_GRACE;
--- a/crates/gateway/src/clients/request_error.rs
+++ b/crates/gateway/src/clients/request_error.rs
@@ -18,6 +18,9 @@
     /// The body ended early or took too long to arrive.
     #[error("the body did not arrive")]
     BodyIncomplete,
+    /// Other requests kept all memory for bodies until the deadline for receiving the request.
+    #[error("refused: no memory for the body")]
+    NoMemoryForBody,
     /// Two headers define the length of the body, so that a server could apply a different one than the
     /// gateway.
     #[error("the body's length is ambiguous")]
@@ -38,6 +41,7 @@
             RequestError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            RequestError::NoMemoryForBody => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             RequestError::ClientDisconnected => StatusCode::TOO_MANY_REQUESTS,
         }
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -1,8 +1,8 @@
 //! Handling of one client request: reads it, submits it to the decision core and waits for its final answer.
 
-use crate::bodies::buffering::read_up_to_limit;
-use crate::bodies::memory::BodyMemory;
-use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
+use crate::bodies::buffering::read_beginning;
+use crate::bodies::memory::{BodyMemory, Reservation};
+use crate::bodies::size::{FORWARDING_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_UNRESERVED_BODY_BYTES};
 use crate::bodies::upload::Upload;
 use crate::clients::connection::ClientConnection;
 use crate::clients::disconnect::{wait_for_disconnect, DisconnectGuard};
@@ -22,14 +22,13 @@
 use hyper::header::{HeaderMap, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
 /// Maximum length of a request body.
 const MAX_REQUEST_BODY_BYTES: u64 = 32 << 20;
-/// Maximum length of a body that needs no reserved memory, since it fits into hyper's read buffer.
-const MAX_UNRESERVED_BODY_BYTES: u64 = 4 << 10;
 /// HTTP path of the platform's health check of the gateway.
 const HEALTH_PATH: &str = "/_health";
 
@@ -159,8 +158,8 @@
         }
     }
 
-    /// Reads a short body, or the beginning of a longer one. Fails if it does not arrive by the deadline for
-    /// receiving the request.
+    /// Reserves memory and reads a short body as far as memory allows, or the beginning of a longer one. Fails if that
+    /// takes until the deadline for receiving the request.
     async fn read_body(&self, client: &ClientConnection, body: Incoming) -> Result<Upload, RequestError> {
         if body.size_hint().exact().is_some_and(|length| length > MAX_REQUEST_BODY_BYTES) {
             return Err(RequestError::BodyTooLarge);
@@ -168,23 +167,22 @@
         if body.is_end_stream() {
             return Ok(Upload::empty());
         }
-        let read = timeout_at(client.request_deadline().into(), self.buffer_body(body)).await;
-        read.ok().flatten().ok_or(RequestError::BodyIncomplete)
+        let length = body.size_hint().exact();
+        let deadline = client.request_deadline().into();
+        let memory = timeout_at(deadline, self.reserve_forwarding_memory(length)).await;
+        let memory = memory.map_err(|_| RequestError::NoMemoryForBody)?;
+        let spare_memory = self.body_memory.spare();
+        let beginning = timeout_at(deadline, read_beginning(body, &spare_memory, pending())).await;
+        let beginning = beginning.ok().and_then(Result::ok).ok_or(RequestError::BodyIncomplete)?;
+        Ok(Upload::new(beginning, length, memory, &self.body_memory))
     }
 
-    /// Buffers a body up to the limit once memory for that is available. Returns `None` if the body ends
-    /// early.
-    async fn buffer_body(&self, body: Incoming) -> Option<Upload> {
-        let length = body.size_hint().exact();
-        let max_buffered = MAX_BUFFERED_BODY_BYTES as u64;
-        let buffered_length = length.map_or(max_buffered, |length| length.min(max_buffered));
-        let reservation = if buffered_length <= MAX_UNRESERVED_BODY_BYTES {
-            None
-        } else {
-            Some(self.body_memory.reserve(buffered_length as usize).await?)
-        };
-        let body = read_up_to_limit(body).await.ok()?;
-        Some(Upload::new(body, length, reservation, &self.body_memory))
+    /// Reserves memory for a body that may have to be forwarded as it arrives, once that is available.
+    async fn reserve_forwarding_memory(&self, length: Option<u64>) -> Option<Reservation> {
+        if length.is_some_and(|length| length <= MAX_UNRESERVED_BODY_BYTES as u64) {
+            return None;
+        }
+        self.body_memory.reserve(FORWARDING_BYTES).await
     }
 }
 
--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -1,5 +1,6 @@
 //! Server for client connections: accepts them and serves their requests.
 
+use crate::bodies::size::CLIENT_BUFFER_BYTES;
 use crate::clients::accept_error::{AcceptErrorHandler, REPEATED_ERROR_BACKOFF};
 use crate::clients::connection::ClientConnection;
 use crate::clients::connection_table::ConnectionTable;
@@ -22,8 +23,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-/// Maximum size of the read buffer that hyper keeps for a connection.
-const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 /// Interval between checks for connections whose timeouts have expired.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -182,7 +181,7 @@
         });
         let mut connection = pin!(http1::Builder::new()
             .keep_alive(!self.stopping.get())
-            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .max_buf_size(CLIENT_BUFFER_BYTES)
             .writev(false)
             .serve_connection(TokioIo::new(ClientStreamIo(client.stream.clone())), service));
         let may_have_input = loop {
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -43,6 +43,7 @@
         let task = task.abort_handle();
         request.in_flight = Some(InFlightAttempt { attempt, server, sent_at: now, connection, task });
         if !request.outgoing.body.is_incomplete() {
+            request.set_response_deadline(&self.clock, deadline);
             self.arm(state, deadline, Timer::AttemptTimeout { id, attempt });
         }
     }
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -66,6 +66,7 @@
         let age = request.newest_byte_age().at_least.as_micros() as Micros;
         let attempt = request.restart_timeouts(now, age);
         let deadline = request.deadline;
+        request.set_response_deadline(&self.clock, deadline);
         if let Some(attempt) = attempt {
             self.arm(&mut state, deadline, Timer::AttemptTimeout { id, attempt });
         }
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -1,5 +1,6 @@
 //! Table of the requests that await an answer or have an attempt in flight.
 
+use crate::driver::clock::Clock;
 use crate::driver::request::Answer;
 use crate::driver::timers::Timer;
 use crate::network::tcp_info::NewestByteAge;
@@ -143,6 +144,14 @@
         (self.newest_byte_age)()
     }
 
+    /// Sets the time by which the attempt in flight must have its response.
+    pub fn set_response_deadline(&self, clock: &Clock, attempt_deadline: Micros) {
+        if let Some(in_flight) = &self.in_flight {
+            let client_deadline = clock.instant_at(self.deadline);
+            in_flight.connection.set_deadlines(clock.instant_at(attempt_deadline), client_deadline);
+        }
+    }
+
     /// Restarts the timeouts of the request and of its attempt in flight, once the last part of a streamed
     /// body, which arrived `age` ago, has been forwarded. Returns the index of that attempt, if any.
     pub fn restart_timeouts(&mut self, now: Micros, age: Micros) -> Option<u32> {
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -1,13 +1,15 @@
 //! One attempt at a request: the request that is sent, the state of its connection, and its outcome.
 
 use crate::bodies::download::ResponseContent;
+use crate::bodies::late_answer::ClientDeadline;
 use crate::bodies::upload::Upload;
 use crate::servers::connection::ServerConnection;
 use grebehook_core::{AttemptReport, AttemptStatus, Event, LoadReport, Micros, RequestId, ServerId};
 use hyper::{HeaderMap, Method, Response, Uri};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use tokio::time::sleep_until;
 
 /// A client's request in the form in which it is forwarded to servers.
 pub struct OutgoingRequest {
@@ -33,6 +35,14 @@
     pub response_deadline: Instant,
 }
 
+/// Longest time before the timeout of an attempt at which the response that is still arriving is passed on. The client
+/// has to receive its beginning by then, also from a process that waited for a core.
+const MAX_PASS_ON_MARGIN: Duration = Duration::from_millis(50);
+/// Divisor of the time of an attempt that gives the margin of a short one.
+const PASS_ON_MARGIN_DIVISOR: u32 = 4;
+/// Interval between checks for the deadline of an attempt whose request is still arriving.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The outcome of an attempt, with or without a response.
 pub struct AttemptOutcome {
     /// Classification of the response or of its absence.
@@ -87,9 +97,37 @@
 #[derive(Default)]
 pub struct AttemptConnection {
     connection: RefCell<Option<Rc<ServerConnection>>>,
+    /// Time until which the client waits.
+    client_deadline: ClientDeadline,
+    /// Time at which a response that is still arriving is passed on; `None` while the client's time has not begun.
+    pass_on_at: Cell<Option<Instant>>,
 }
 
 impl AttemptConnection {
+    /// Sets the time at which the attempt times out, and until which the client waits.
+    pub fn set_deadlines(&self, attempt_deadline: Instant, client_deadline: Instant) {
+        let remaining = attempt_deadline.saturating_duration_since(Instant::now());
+        let margin = MAX_PASS_ON_MARGIN.min(remaining / PASS_ON_MARGIN_DIVISOR);
+        self.pass_on_at.set(Some(attempt_deadline - margin));
+        self.client_deadline.set(Some(client_deadline));
+    }
+
+    /// Returns the time until which the client waits, as it changes.
+    pub fn client_deadline(&self) -> ClientDeadline {
+        self.client_deadline.clone()
+    }
+
+    /// Waits until the response that is still arriving has to be passed on to its client.
+    pub async fn pass_on_due(&self) {
+        loop {
+            let due = self.pass_on_at.get();
+            if due.is_some_and(|due| due <= Instant::now()) {
+                return;
+            }
+            sleep_until(due.unwrap_or(Instant::now() + DEADLINE_CHECK_INTERVAL).into()).await;
+        }
+    }
+
     /// Returns whether the attempt is still waiting for its connection.
     pub fn is_connecting(&self) -> bool {
         self.connection.borrow().is_none()
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -79,6 +79,8 @@
     write_refused: Cell<bool>,
     /// Counter to increment once the current request has been written completely.
     written_counter: RefCell<Option<Rc<Cell<u64>>>>,
+    /// Time at which the server last sent anything, or the connection was established.
+    last_read_at: Cell<Instant>,
     /// Number of requests begun on the connection. Input that arrives before a second or later request is
     /// written is not the response to it.
     requests_begun: Cell<u32>,
@@ -95,6 +97,7 @@
             write_condition: RefCell::default(),
             write_refused: Cell::new(false),
             written_counter: RefCell::default(),
+            last_read_at: Cell::new(Instant::now()),
             requests_begun: Cell::new(0),
         })
     }
@@ -136,6 +139,11 @@
         self.progress.get().is_complete()
     }
 
+    /// Returns the time since the server last sent anything.
+    pub fn time_since_read(&self) -> Duration {
+        self.last_read_at.get().elapsed()
+    }
+
     /// Returns whether the connection is open and has no unread input, as reported by the operating system.
     pub fn has_no_unread_input(&self) -> bool {
         self.socket.borrow().as_ref().is_some_and(|open_socket| open_socket.socket.has_no_unread_input())
@@ -242,6 +250,9 @@
         connection.register_task(cx);
         let filled_before = buf.filled().len();
         let result = connection.poll_socket(|socket| socket.poll_read(cx, buf));
+        if result.is_ready() {
+            connection.last_read_at.set(Instant::now());
+        }
         connection.update_progress(|progress| progress.record_read(buf.filled().len() - filled_before));
         let progress = connection.progress.get();
         let has_unsolicited_input = connection.is_reused() && progress.has_unsolicited_input();
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -1,24 +1,24 @@
 //! The exchange of an attempt: sends the request over a pooled connection and reads its response.
 
-use crate::bodies::buffering::{read_up_to_limit, PartiallyReadBody};
-use crate::bodies::download::{Download, ResponseContent};
-use crate::bodies::size::{MAX_BUFFERED_BODY_BYTES, STREAMING_BUFFER_BYTES};
+use crate::bodies::buffering::{discard_short_body, read_beginning, PartiallyReadBody};
+use crate::bodies::download::{BufferedContent, Download, ReceivedBeginning, ResponseContent};
+use crate::bodies::late_answer::MAX_WRITE_PAUSE;
+use crate::bodies::memory::BodyMemory;
+use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
 use crate::bodies::upload::RequestBody;
 use crate::network::headers;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptOutcome, OutgoingRequest};
 use crate::servers::connection::{ServerConnection, WriteCondition};
 use crate::servers::pool::{ConnectionPool, PooledConnection};
-use bytes::Bytes;
 use grebehook_core::{AttemptStatus, ServerId};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use std::cell::Cell;
+use std::future::pending;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Instant;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout_at};
 
 /// Maximum length of a response body. It exceeds the limit for request bodies, because servers send longer
@@ -29,8 +29,8 @@
 pub struct Upstream {
     /// Listed servers and the connections to them.
     pub pool: ConnectionPool,
-    /// Memory for streamed responses, each of which takes one permit.
-    body_memory: Arc<Semaphore>,
+    /// Memory for the parts of responses that are buffered.
+    body_memory: BodyMemory,
     /// Maximum number of quota units that a request can use.
     max_units: f64,
 }
@@ -51,25 +51,17 @@
 
 /// The part of a response body that is read before the response is evaluated.
 enum ReceivedBody {
-    /// Complete body.
-    Complete(Bytes),
-    /// Prefix of a body that is too long to be buffered, with the rest of the body.
-    Partial {
-        /// Data already read.
-        buffered: Bytes,
-        /// Data that the server is still sending.
-        remainder: Incoming,
-        /// Memory reserved for streaming the body.
-        body_memory: OwnedSemaphorePermit,
-    },
+    /// The whole body.
+    Complete(BufferedContent),
+    /// The beginning of a body that is forwarded as it arrives.
+    Beginning(ReceivedBeginning),
 }
 
 impl Upstream {
-    /// Creates an upstream over a pool. `body_memory_bytes` is the memory for streamed responses, and
+    /// Creates an upstream over a pool. `body_memory_bytes` is the memory for buffered responses, and
     /// `max_units` the maximum number of quota units that a request can use.
     pub fn new(pool: ConnectionPool, body_memory_bytes: usize, max_units: f64) -> Upstream {
-        let max_streamed = (body_memory_bytes / STREAMING_BUFFER_BYTES).max(1);
-        Upstream { pool, body_memory: Arc::new(Semaphore::new(max_streamed)), max_units }
+        Upstream { pool, body_memory: BodyMemory::new(body_memory_bytes), max_units }
     }
 
     /// Sends a request once within the deadlines and reads the response. Increments `written_counter` once
@@ -137,17 +129,22 @@
         };
         pooled.connection.record_response_head();
         let (head, body) = response.into_parts();
-        let Some(body) = self.read_response_body(&head, body).await else {
+        let Some(body) = self.read_response_body(attempt, &pooled.connection, &head, body).await else {
             pooled.connection.close();
             return Ok(AttemptOutcome::without_response(AttemptStatus::ConnectionReset));
         };
-        Ok(self.evaluate_response(attempt.server, pooled, head, body))
+        Ok(self.evaluate_response(attempt, pooled, head, body))
     }
 
-    /// Reads the body of a response up to the buffer limit. For a longer body, waits until memory for
-    /// streaming it is available; the server has to wait as well. Returns `None` if the response is not
-    /// valid.
-    async fn read_response_body(&self, head: &response::Parts, body: Incoming) -> Option<ReceivedBody> {
+    /// Reads the body of a response, or the beginning of one that is long, finds no memory, or is still arriving when
+    /// the client must receive something. Returns `None` if the response is not valid.
+    async fn read_response_body(
+        &self,
+        attempt: &Attempt<'_>,
+        connection: &ServerConnection,
+        head: &response::Parts,
+        body: Incoming,
+    ) -> Option<ReceivedBody> {
         let is_ok = head.status == StatusCode::OK;
         // An interim response and a successful response whose end cannot be determined are not valid.
         if head.status.is_informational() || is_ok && !headers::has_unambiguous_body_end(&head.headers) {
@@ -157,27 +154,42 @@
         if length.is_some_and(|length| length > MAX_RESPONSE_BODY_BYTES) {
             return None;
         }
+        if !is_ok {
+            // Only successful responses are forwarded to the client.
+            let is_short = discard_short_body(body).await.ok()?;
+            return is_short.then(|| ReceivedBody::Complete(BufferedContent::default()));
+        }
+        let head_received_at = Instant::now();
         let is_known_long = length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
-        let PartiallyReadBody { buffered, remainder } = if is_known_long {
-            PartiallyReadBody { buffered: Bytes::new(), remainder: Some(body) }
+        let body = if is_known_long {
+            PartiallyReadBody::unread(body)
         } else {
-            read_up_to_limit(body).await.ok()?
+            let stop = attempt.pass_on_due(connection, length);
+            read_beginning(body, &self.body_memory, stop).await.ok()?
         };
-        let Some(remainder) = remainder else { return Some(ReceivedBody::Complete(buffered)) };
-        let body_memory = self.body_memory.clone().acquire_owned().await.ok()?;
-        // Only successful responses are forwarded to the client.
-        is_ok.then_some(ReceivedBody::Partial { buffered, remainder, body_memory })
+        let PartiallyReadBody { buffered, reservation, remainder } = body;
+        Some(match remainder {
+            None => ReceivedBody::Complete(BufferedContent::new(buffered, reservation)),
+            Some(remainder) => ReceivedBody::Beginning(ReceivedBeginning {
+                buffered,
+                reservation,
+                remainder,
+                length,
+                head_received_at,
+            }),
+        })
     }
 
     /// Evaluates a response. Returns its connection to the pool once the response body is complete, or closes
     /// it if the request was not written completely.
     fn evaluate_response(
         self: &Rc<Self>,
-        server: ServerId,
+        attempt: &Attempt<'_>,
         pooled: PooledConnection,
         head: response::Parts,
         body: ReceivedBody,
     ) -> AttemptOutcome {
+        let server = attempt.server;
         let status = classify_response(&head);
         let reported_usage = headers::reported_usage(&head.headers);
         let load_report = headers::load_report(head.headers.get(headers::LOAD_REPORT));
@@ -192,13 +204,15 @@
             }
         };
         let content = match body {
-            ReceivedBody::Complete(body) => {
+            ReceivedBody::Complete(content) => {
                 release_connection();
-                ResponseContent::Buffered(body)
+                ResponseContent::Buffered(content)
+            }
+            ReceivedBody::Beginning(beginning) => {
+                let client_deadline = attempt.connection.client_deadline();
+                let on_complete = Box::new(release_connection);
+                ResponseContent::Streamed(Download::new(beginning, connection, client_deadline, on_complete))
             }
-            ReceivedBody::Partial { buffered, remainder, body_memory } => ResponseContent::Streamed(
-                Download::new(buffered, remainder, connection, Box::new(release_connection), body_memory),
-            ),
         };
         let is_ok = status == AttemptStatus::Ok;
         AttemptOutcome {
@@ -221,6 +235,18 @@
         }
     }
 
+    /// Waits until a response that is still arriving has to be passed on to its client: just before the attempt times
+    /// out, if the response may be a long one and its server is still writing it. Otherwise, never completes.
+    async fn pass_on_due(&self, connection: &ServerConnection, length: Option<u64>) {
+        if length.is_none() {
+            self.connection.pass_on_due().await;
+            if connection.time_since_read() < MAX_WRITE_PAUSE {
+                return;
+            }
+        }
+        pending::<()>().await;
+    }
+
     /// Builds the request for a connection, including the header with the forwarded timeout.
     fn to_request(&self, connection: &Rc<ServerConnection>) -> Request<RequestBody> {
         let mut request = Request::new(RequestBody::new(&self.request.body, connection.clone()));
--- a/crates/gateway/src/servers/health_check.rs
+++ b/crates/gateway/src/servers/health_check.rs
@@ -44,7 +44,7 @@
             return HealthCheckResult { status: AttemptStatus::Timeout, load_report: None };
         };
         let body = outcome.response.as_ref().and_then(|response| match response.body() {
-            ResponseContent::Buffered(body) => HeaderValue::from_bytes(body).ok(),
+            ResponseContent::Buffered(content) => HeaderValue::from_bytes(&content.data.to_vec()).ok(),
             ResponseContent::Streamed(_) => None,
         });
         // The load report is either in a header or the body itself.
--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of connections to the servers of the endpoint list.
 
+use crate::bodies::size::SERVER_BUFFER_BYTES;
 use crate::bodies::upload::RequestBody;
 use crate::control::endpoint_list::ListedEndpoint;
 use crate::servers::connection::{OpenConnectionGuard, ServerConnection, ServerConnectionIo};
@@ -22,8 +23,6 @@
 /// Minimum time between a response and the next request on the same connection. A surplus response may arrive
 /// some milliseconds late, and could not be distinguished from the response to the next request.
 const REUSE_DELAY: Duration = Duration::from_millis(20);
-/// Maximum size of the read buffer that hyper keeps for a connection.
-const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
 /// Identity of a server process in the endpoint list.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -199,7 +198,7 @@
         let stream = self.open_stream(process.address).await?;
         let connection = ServerConnection::new(stream, open_guard);
         let (sender, connection_task) = http1::Builder::new()
-            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .max_buf_size(SERVER_BUFFER_BYTES)
             .writev(false)
             .handshake(TokioIo::new(ServerConnectionIo(connection.clone())))
             .await
