Bound the memory of hundreds of slow clients by the limit in the settings

Cause: only buffered bodies had a limit. What hyper keeps for each connection had none that depends on the memory: read buffers of 32 KiB for each client with unread data, write buffers of servers' connections that grew to hold a whole buffered body (64 KiB and more) and keep that size for as long as the connection lives, 16 KiB of input beyond a request, and as many connections as descriptors allow. ResourceBudget divided memory among bodies alone. Class of the fault: buffers that many peers fill, each bounded alone and their sum by nothing. Change: ResourceBudget divides the memory among connections of clients, connections to servers, and bodies, each with the memory that one takes; at the bound a client waits in the backlog or an idle one is closed, an attempt is not sent, a body waits and is then refused. A head may have 8 KiB (32 before). Input beyond a request that is discarded anyway is not kept.

--- a/crates/gateway/src/bodies/size.rs
+++ b/crates/gateway/src/bodies/size.rs
@@ -7,9 +7,9 @@
 /// again while memory is left.
 pub const MAX_REPLAYED_BODY_BYTES: usize = 256 << 10;
 /// Size limit of each buffer that hyper keeps for a client's connection. It also limits the length of a head.
-pub const CLIENT_BUFFER_BYTES: usize = 32 << 10;
-/// Size limit of each buffer that hyper keeps for a server's connection.
-pub const SERVER_BUFFER_BYTES: usize = 32 << 10;
+pub const CLIENT_BUFFER_BYTES: usize = 8 << 10;
+/// Size limit of each buffer that hyper keeps for a server's connection, the smallest one that hyper allows.
+pub const SERVER_BUFFER_BYTES: usize = 8 << 10;
 /// Maximum length of the data that hyper reads from a client at a time: twice the limit of its read buffer.
 pub const MAX_BODY_FRAME_BYTES: usize = 2 * CLIENT_BUFFER_BYTES;
 /// Size of the blocks in which bodies are buffered and passed to hyper, which copies them to a buffer that grows to hold
--- a/crates/gateway/src/clients/linger.rs
+++ b/crates/gateway/src/clients/linger.rs
@@ -26,7 +26,8 @@
 /// Shuts down the sending side and discards input until the client closes its own sending side or a limit is
 /// reached.
 async fn discard_input(mut socket: Socket<TcpStream>) -> io::Result<()> {
-    let mut data = [0; READ_CHUNK_BYTES];
+    // On the heap, since the task of each connection has room for this future.
+    let mut data = vec![0; READ_CHUNK_BYTES];
     let mut remaining = MAX_DISCARDED_BYTES;
     socket.shutdown().await?;
     while remaining > 0 {
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -20,7 +20,7 @@
 pub mod transport;
 
 /// Maximum amount of input that is stored while a request is in progress; clients send one request at a time.
-const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
+const MAX_READ_AHEAD_BYTES: usize = 8 << 10;
 /// Number of bytes read per call while a request is in progress.
 const READ_AHEAD_CHUNK_BYTES: usize = 1024;
 
@@ -38,10 +38,13 @@
 }
 
 impl Input {
-    /// Stores input that arrived while a request is in progress, up to [`MAX_READ_AHEAD_BYTES`].
+    /// Stores input that arrived while a request is in progress, up to [`MAX_READ_AHEAD_BYTES`]. None of it is kept
+    /// once there is more, since the connection then closes after the response.
     fn extend_read_ahead(&mut self, data: &[u8]) {
         self.read_ahead_overflowed |= self.read_ahead.len() + data.len() > MAX_READ_AHEAD_BYTES;
-        if !self.read_ahead_overflowed {
+        if self.read_ahead_overflowed {
+            self.read_ahead = BytesMut::new();
+        } else {
             self.read_ahead.extend_from_slice(data);
         }
     }
@@ -226,6 +229,9 @@
         let mut input = self.input.borrow_mut();
         let length = input.read_ahead.len().min(buf.remaining());
         buf.put_slice(&input.read_ahead.split_to(length));
+        if input.read_ahead.is_empty() {
+            input.read_ahead = BytesMut::new();
+        }
         // Some operating systems do not report an end of the stream again that has been read before.
         length > 0 || input.read_closed
     }
--- a/crates/gateway/src/lifecycle/resources.rs
+++ b/crates/gateway/src/lifecycle/resources.rs
@@ -6,10 +6,22 @@
 /// Descriptors reserved for everything but connections of clients and servers: standard streams, event
 /// queues, discovery, the counter, gossip and operators.
 const RESERVED_DESCRIPTORS: usize = 40 + operations::server::MAX_CONNECTIONS;
-/// Divisor of the memory limit. The result is the memory for streamed responses.
-const RESPONSE_MEMORY_DIVISOR: usize = 4;
-/// Divisor of the memory limit. The result is the memory for request bodies.
-const REQUEST_MEMORY_DIVISOR: usize = 8;
+/// Memory of the process without its connections and bodies.
+const PROCESS_BYTES: usize = 6_000_000;
+/// Memory of a client's connection: its task and the buffers that hyper keeps for it.
+const CLIENT_CONNECTION_BYTES: usize = 18 << 10;
+/// Memory of a connection to a server that carries a request: its task, that of the attempt, and the buffers that hyper
+/// keeps for it.
+const SERVER_CONNECTION_BYTES: usize = 32 << 10;
+/// Share of the memory beyond [`PROCESS_BYTES`] for the connections of clients. What the shares leave is for the records
+/// of requests, customers and servers.
+const CLIENT_CONNECTION_PERCENT: usize = 27;
+/// Share of the memory for connections to servers.
+const SERVER_CONNECTION_PERCENT: usize = 37;
+/// Share of the memory for buffered responses.
+const RESPONSE_PERCENT: usize = 8;
+/// Share of the memory for request bodies.
+const REQUEST_PERCENT: usize = 13;
 
 /// Limits on the resources of each part of the gateway.
 pub struct ResourceBudget {
@@ -17,25 +29,29 @@
     pub client_connections: usize,
     /// Limit on connections to servers.
     pub server_connections: usize,
-    /// Limit on the memory for streamed responses, in bytes.
+    /// Limit on the memory for buffered responses, in bytes.
     pub response_bytes: usize,
     /// Limit on the memory for request bodies, in bytes.
     pub request_bytes: usize,
 }
 
 impl ResourceBudget {
-    /// Divides the limits of a configuration. Servers get at least as many connections as clients: a client
-    /// connection has at most one attempt in flight, so an idle server connection can always be closed to
-    /// make room for an attempt.
+    /// Divides the limits of a configuration. As far as memory allows, servers get at least as many connections as
+    /// clients: a client connection has at most one attempt in flight, so an idle server connection can always be
+    /// closed to make room for an attempt.
     pub fn new(config: &Config) -> ResourceBudget {
         let reserved = RESERVED_DESCRIPTORS.min(config.max_descriptors / 2);
         let connections = config.max_descriptors - reserved;
         let client_connections = connections / 2;
+        let memory = config.max_memory_bytes - PROCESS_BYTES;
+        let share = |percent: usize| memory / 100 * percent;
         ResourceBudget {
-            client_connections,
-            server_connections: connections - client_connections,
-            response_bytes: config.max_memory_bytes / RESPONSE_MEMORY_DIVISOR,
-            request_bytes: config.max_memory_bytes / REQUEST_MEMORY_DIVISOR,
+            client_connections: client_connections
+                .min(share(CLIENT_CONNECTION_PERCENT) / CLIENT_CONNECTION_BYTES),
+            server_connections: (connections - client_connections)
+                .min(share(SERVER_CONNECTION_PERCENT) / SERVER_CONNECTION_BYTES),
+            response_bytes: share(RESPONSE_PERCENT),
+            request_bytes: share(REQUEST_PERCENT),
         }
     }
 }
--- a/crates/gateway/tests/loopback/memory.rs
+++ b/crates/gateway/tests/loopback/memory.rs
@@ -5,8 +5,10 @@
 use crate::rig::chunks::encode_chunk;
 use crate::rig::crowd::Crowd;
 use crate::rig::deployment::Deployment;
+use crate::rig::endpoint::Endpoint;
 use crate::rig::gateway_process::GatewayProcess;
 use crate::rig::request::{idempotent_request, non_idempotent_request, with_framing, with_header_lines};
+use std::iter;
 use std::net::{SocketAddr, TcpListener};
 
 /// The least memory that a deployment gives a gateway, in megabytes.
@@ -17,6 +19,10 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Number of clients: nearly as many as a gateway with [`MOST_DESCRIPTORS`] has descriptors for.
 const CLIENT_COUNT: usize = 470;
+/// Number of clients that wait for long answers at once.
+const ANSWERED_CLIENT_COUNT: usize = 280;
+/// Number of servers, among which hundreds of answers at once overload none.
+const SERVER_COUNT: usize = 16;
 /// Length of the longest body that is buffered before it is forwarded.
 const SHORT_BODY_BYTES: usize = 64 << 10;
 /// Length of a body that is forwarded as it arrives.
@@ -26,7 +32,13 @@
 
 /// Starts a gateway in front of a server.
 fn start_gateway(server: SocketAddr) -> GatewayProcess {
-    Deployment::with_endpoint(server)
+    start_gateway_with_servers(iter::once(server))
+}
+
+/// Starts a gateway in front of several servers.
+fn start_gateway_with_servers(servers: impl Iterator<Item = SocketAddr>) -> GatewayProcess {
+    let endpoint = |(number, address)| Endpoint::ready(format!("s-{number}"), address);
+    Deployment::new(servers.enumerate().map(endpoint).collect())
         .set("/limits/memory_mb", LEAST_MEMORY_MB)
         .configured_socket_limit(MOST_DESCRIPTORS)
         .descriptor_limit(MOST_DESCRIPTORS)
@@ -49,6 +61,13 @@
     assert!(peak <= limit, "{crowd}: {peak} bytes of memory, {limit} allowed");
 }
 
+/// Lets clients ask for long answers, and checks the memory and that each client gets its answer.
+fn assert_answers_fit(gateway: &GatewayProcess, name: &str, request: impl Fn() -> String) {
+    let (_crowd, statuses) = Crowd::connect_answered(gateway.address, ANSWERED_CLIENT_COUNT, request);
+    assert_memory_kept(gateway, name);
+    assert!(statuses.iter().all(|status| status == "200"), "{name}: {statuses:?}");
+}
+
 /// Lets a crowd of clients write until nothing moves, and checks the memory.
 fn assert_crowd_fits(gateway: &GatewayProcess, name: &str, input: impl FnMut() -> Vec<u8>) {
     let mut crowd = Crowd::connect(gateway.address, CLIENT_COUNT, input);
@@ -80,6 +99,12 @@
     [head.into_bytes(), vec![b'x'; LONG_BODY_BYTES]].concat()
 }
 
+/// Returns a successful response with a long body of unknown length.
+fn long_chunked_response() -> Vec<u8> {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    [head.to_vec(), encode_chunk(&vec![b'x'; LONG_BODY_BYTES]), b"0\r\n\r\n".to_vec()].concat()
+}
+
 #[test]
 fn hundreds_of_bodies_that_servers_do_not_read_fit_into_the_least_memory() {
     let server = hanging_server();
@@ -117,10 +142,30 @@
 
 #[test]
 fn hundreds_of_long_answers_that_clients_do_not_read_fit_into_the_least_memory() {
-    let server = start_bulk_server(long_response());
-    let gateway = start_gateway(server);
-    assert_crowd_fits(&gateway, "long answers", || idempotent_request().into_bytes());
-    assert_crowd_fits(&gateway, "long answers to heads of many fields", || {
-        request_with_many_fields().into_bytes()
-    });
+    for response in [long_response(), long_chunked_response()] {
+        let gateway =
+            start_gateway_with_servers((0..SERVER_COUNT).map(|_| start_bulk_server(response.clone())));
+        assert_answers_fit(&gateway, "long answers", idempotent_request);
+        assert_answers_fit(&gateway, "long answers to heads of many fields", request_with_many_fields);
+    }
+}
+
+/// Memory that one kind of load leaves behind must not add up with that of the next.
+#[test]
+fn hundreds_of_slow_clients_of_all_kinds_in_turn_fit_into_the_least_memory() {
+    let servers = (0..SERVER_COUNT).map(|_| start_bulk_server(long_chunked_response()));
+    let gateway = start_gateway_with_servers(servers);
+    for round in 1..=2 {
+        let name = |kind: &str| format!("round {round}, {kind}");
+        assert_crowd_fits(&gateway, &name("halves of long bodies"), || {
+            request_with_partial_body(LONG_BODY_BYTES / 2, LONG_BODY_BYTES)
+        });
+        assert_crowd_fits(&gateway, &name("answers"), || request_with_many_fields().into_bytes());
+        assert_crowd_fits(&gateway, &name("chunked bodies"), request_with_endless_body);
+        assert_crowd_fits(&gateway, &name("halves of short bodies"), || {
+            request_with_partial_body(SHORT_BODY_BYTES / 2, SHORT_BODY_BYTES)
+        });
+        let pipelined = || [idempotent_request(), "x".repeat(LONG_BODY_BYTES)].concat().into_bytes();
+        assert_crowd_fits(&gateway, &name("input beyond a request"), pipelined);
+    }
 }
--- a/crates/gateway/tests/loopback/rig/bulk_server.rs
+++ b/crates/gateway/tests/loopback/rig/bulk_server.rs
@@ -1,4 +1,4 @@
-//! A server of long responses, whose connections one thread serves without blocking, so that many responses can
+//! A server of long responses to requests without a body, whose connections one thread serves without blocking, so that many responses can
 //! wait for their clients at once.
 
 use std::io::{ErrorKind, Read, Write};
@@ -14,7 +14,8 @@
 /// A connection of the gateway.
 struct Connection {
     stream: TcpStream,
-    request: Vec<u8>,
+    /// The last bytes of the request.
+    request_end: Vec<u8>,
     /// The part of the response that has not been written yet; `None` before the request has arrived.
     response: Option<Vec<u8>>,
 }
@@ -26,10 +27,14 @@
             let mut data = [0; 4 << 10];
             match self.stream.read(&mut data) {
                 Ok(0) => return false,
-                Ok(read) => self.request.extend_from_slice(&data[..read]),
+                Ok(read) => {
+                    self.request_end.extend_from_slice(&data[..read]);
+                    let excess = self.request_end.len().saturating_sub(HEAD_END.len());
+                    self.request_end.drain(..excess);
+                }
                 Err(error) => return error.kind() == ErrorKind::WouldBlock,
             }
-            if self.request.ends_with(HEAD_END) {
+            if self.request_end == HEAD_END {
                 self.response = Some(response.to_vec());
             }
         }
@@ -54,7 +59,7 @@
         loop {
             while let Ok((stream, _)) = listener.accept() {
                 stream.set_nonblocking(true).unwrap();
-                connections.push(Connection { stream, request: Vec::new(), response: None });
+                connections.push(Connection { stream, request_end: Vec::new(), response: None });
             }
             connections.retain_mut(|connection| connection.advance(&response));
             thread::sleep(ROUND_INTERVAL);
--- a/crates/gateway/tests/loopback/rig/crowd.rs
+++ b/crates/gateway/tests/loopback/rig/crowd.rs
@@ -1,6 +1,7 @@
 //! Many clients of one gateway, whose sockets one thread writes and reads without blocking.
 
-use std::io::{ErrorKind, Write};
+use super::EVENT_TIMEOUT;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,6 +13,11 @@
 /// Interval between two rounds over all clients.
 const ROUND_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Position of the status code in a response.
+const STATUS_START: usize = 9;
+/// Position behind the status code in a response.
+const STATUS_END: usize = 12;
+
 /// A client of the crowd.
 struct CrowdClient {
     stream: TcpStream,
@@ -35,6 +41,16 @@
             }
         }
     }
+
+    /// Waits for the beginning of an answer and returns its status code, or the error.
+    fn read_status(&mut self) -> String {
+        let mut start = [0; STATUS_END];
+        self.stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        match self.stream.read_exact(&mut start) {
+            Ok(()) => String::from_utf8_lossy(&start[STATUS_START..]).into_owned(),
+            Err(error) => error.to_string(),
+        }
+    }
 }
 
 /// Many clients of one gateway.
@@ -66,4 +82,22 @@
             thread::sleep(ROUND_INTERVAL);
         }
     }
+
+    /// Connects clients one after another, of which each sends its request and waits for the beginning of its answer.
+    /// Returns them with the status codes, or errors, of their answers.
+    pub fn connect_answered(
+        address: SocketAddr,
+        count: usize,
+        request: impl Fn() -> String,
+    ) -> (Crowd, Vec<String>) {
+        let mut clients = Vec::new();
+        let mut statuses = Vec::new();
+        for _ in 0..count {
+            let mut client = CrowdClient { stream: TcpStream::connect(address).unwrap(), unsent: Vec::new() };
+            client.stream.write_all(request().as_bytes()).unwrap();
+            statuses.push(client.read_status());
+            clients.push(client);
+        }
+        (Crowd { clients }, statuses)
+    }
 }
