Count a client's time from when it can have written the last byte of a held-back body

Cause: the time of a request with a long body counted from the arrival of its last byte (TCP_INFO). While a server holds the body back, the gateway reads its client only as fast, and the client's system keeps up to 4 MiB (Linux's default) that the client has long written. Each byte that the server takes lets a further one arrive, and the time begins anew. Class of the fault: a clock that starts at what the gateway's own backpressure delays. Change: every 50 ms ArrivalHistory records how much of an incomplete body has arrived and whether all of it was taken. While that is not so, the last byte counts as written when the bytes 4 MiB before it had arrived, or when holding back began, if that is later. Not known from outside is how much the client's system keeps: a client that keeps less than 4 MiB is answered earlier than it would have to be, with 429 or 502 as before.

--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -36,6 +36,8 @@
     /// The length of the body, where it is known.
     length: Option<u64>,
     state: Cell<UploadState>,
+    /// Number of bytes of the body that have been read from the client.
+    taken: Cell<u64>,
     /// Time at which an attempt last took data of the remainder, or the body was created.
     last_taken_at: Cell<Instant>,
     /// The newest attempt, the only one that may read the remainder.
@@ -89,7 +91,8 @@
     /// Creates a body with the buffer for what is kept of its remainder.
     fn with_replay(body: PartiallyReadBody, length: Option<u64>, replay: Option<ReplayBuffer>) -> Upload {
         let is_streamed = body.remainder.is_some();
-        let length = if is_streamed { length } else { Some(body.buffered.len() as u64) };
+        let buffered_length = body.buffered.len() as u64;
+        let length = if is_streamed { length } else { Some(buffered_length) };
         let state = if is_streamed { UploadState::Receiving } else { UploadState::Complete };
         Upload {
             buffered: body.buffered,
@@ -99,6 +102,7 @@
             ),
             length,
             state: Cell::new(state),
+            taken: Cell::new(buffered_length),
             last_taken_at: Cell::new(Instant::now()),
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
@@ -155,6 +159,11 @@
         self.remainder.borrow().as_ref().is_some_and(StallTimeoutBody::awaits_sender)
     }
 
+    /// Returns the number of bytes of the body that have been read from the client.
+    pub fn taken(&self) -> u64 {
+        self.taken.get()
+    }
+
     /// Returns for how long no data has been taken of a body that is held back; `None` while the client's next
     /// data is awaited.
     pub fn held_back_for(&self) -> Option<Duration> {
@@ -264,6 +273,9 @@
         if is_end {
             guard.take();
         }
+        if let Some(Ok(data)) = &data {
+            self.taken.set(self.taken.get() + data.len() as u64);
+        }
         self.last_taken_at.set(Instant::now());
         Poll::Ready(data)
     }
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -131,9 +131,7 @@
         if (outgoing.client_has_disconnected)() {
             return Err(RequestError::ClientDisconnected);
         }
-        let stream = client.stream.clone();
-        let newest_byte_age = Rc::new(move || stream.newest_byte_age());
-        let submitted = self.driver.submit(request_id, request_head, outgoing, newest_byte_age);
+        let submitted = self.driver.submit(request_id, request_head, outgoing, client.stream.clone());
         let SubmittedRequest { id, answer, counter } = submitted.ok_or(RequestError::DuplicateId)?;
         client.begin_request();
         let answer = self.wait_for_answer(client, id, &body, answer).await;
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -3,8 +3,9 @@
 
 use crate::clients::head_scanner::{Framing, HeadScanner};
 use crate::clients::linger;
+use crate::driver::request::ClientInput;
 use crate::network::socket::Socket;
-use crate::network::tcp_info::{newest_byte_age, NewestByteAge};
+use crate::network::tcp_info::{newest_byte_age, unread_bytes, NewestByteAge};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -124,16 +125,6 @@
         self.request_began_at.set(if is_between_requests { None } else { Some(Instant::now()) });
     }
 
-    /// Returns the time since the client's newest byte reached this machine. For a complete request this is
-    /// its age, including all queueing. The newest byte may belong to a later, pipelined request; the request
-    /// is then older.
-    pub fn newest_byte_age(&self) -> NewestByteAge {
-        let input = self.input.borrow();
-        let reported = input.socket.as_ref().and_then(|socket| newest_byte_age(socket.get_ref()).ok());
-        let since_last_read = self.last_read_at.get().elapsed();
-        reported.unwrap_or(NewestByteAge { at_least: Duration::ZERO, estimate: since_last_read })
-    }
-
     /// Returns whether bytes have arrived that hyper has not read.
     pub fn has_unread_input(&self) -> bool {
         let input = self.input.borrow();
@@ -261,6 +252,24 @@
     }
 }
 
+impl ClientInput for ClientStream {
+    /// Returns the time since the client's newest byte reached this machine. For a complete request this is
+    /// its age, including all queueing. The newest byte may belong to a later, pipelined request; the request
+    /// is then older.
+    fn newest_byte_age(&self) -> NewestByteAge {
+        let input = self.input.borrow();
+        let reported = input.socket.as_ref().and_then(|socket| newest_byte_age(socket.get_ref()).ok());
+        let since_last_read = self.last_read_at.get().elapsed();
+        reported.unwrap_or(NewestByteAge { at_least: Duration::ZERO, estimate: since_last_read })
+    }
+
+    fn unread_bytes(&self) -> u64 {
+        let input = self.input.borrow();
+        let unread = input.socket.as_ref().and_then(|socket| unread_bytes(socket.get_ref()).ok());
+        unread.unwrap_or(0)
+    }
+}
+
 /// Keeps hyper from reading the socket until the guard is dropped.
 struct DisconnectWaitGuard<'a> {
     waiting_for_disconnect: &'a Cell<bool>,
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -1,45 +1,44 @@
 //! Handles clients' requests: their arrival, the end of their bodies, disconnecting clients, and deadlines.
 
 use super::{DecisionDriver, DriverState};
-use crate::driver::request::{Answer, RequestHead, SubmittedRequest};
+use crate::driver::request::{Answer, ClientInput, RequestHead, SubmittedRequest};
 use crate::driver::request_table::{InsertedRequest, NewRequest};
 use crate::driver::timers::Timer;
-use crate::network::tcp_info::NewestByteAge;
 use crate::servers::attempt::OutgoingRequest;
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId};
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 
-/// Interval between checks of a request whose client's data is awaited, in microseconds. If a server holds the
-/// body back meanwhile, the request is answered late by at most this interval.
+/// Interval between checks of a request whose body is incomplete, in microseconds. If a server begins to hold the body
+/// back meanwhile, the request is answered late by at most this interval.
 const UPLOAD_CHECK_INTERVAL: Micros = 50_000;
 
 impl DecisionDriver {
     /// Submits a client's request to the decision core. The client timeout runs from the arrival of the
-    /// request's last byte at this machine; `newest_byte_age` returns the time since the arrival of the newest
-    /// byte. Returns `None` while another request with the same `client_request_id` is pending.
+    /// request's last byte at this machine, which `input` tells. Returns `None` while another request with the same `client_request_id` is pending.
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: HeaderValue,
         head: RequestHead,
         outgoing: OutgoingRequest,
-        newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
+        input: Rc<dyn ClientInput>,
     ) -> Option<SubmittedRequest> {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let is_complete = outgoing.body.is_read_to_end();
-        let age = if is_complete { newest_byte_age().at_least.as_micros() as Micros } else { 0 };
+        let age = if is_complete { input.newest_byte_age().at_least.as_micros() as Micros } else { 0 };
         let deadline = now + head.client_timeout.saturating_sub(age);
         let InsertedRequest { id, answer } = state.requests.insert(NewRequest {
             client_request_id,
             outgoing,
             deadline,
             client_timeout: head.client_timeout,
-            newest_byte_age,
+            input,
+            submitted_at: now,
             deduplication_window: head.deduplication_window,
         })?;
         let body_incomplete = self.notify_when_body_forwarded(&state, id);
-        let first_check = state.requests.answer_deadline(id, now).unwrap_or(deadline);
+        let first_check = if body_incomplete { now + UPLOAD_CHECK_INTERVAL } else { deadline };
         self.arm(&mut state, first_check, Timer::RequestDeadline(id));
         state.events.push_back(Event::RequestArrived(head.arrival(id, age, body_incomplete)));
         // The decision core must receive the time from which the deadline timer was computed. On a busy
@@ -63,7 +62,7 @@
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let Some(request) = state.requests.get_mut(id) else { return };
-        let age = request.newest_byte_age().at_least.as_micros() as Micros;
+        let age = request.age_of_last_byte(now);
         let attempt = request.restart_timeouts(now, age);
         let deadline = request.deadline;
         request.set_response_deadline(&self.clock, deadline);
@@ -121,14 +120,15 @@
     /// Ends a request whose body is incomplete if its client may have stopped waiting or the process ends, or
     /// else arms the timer of the next check.
     fn check_upload(&self, state: &mut DriverState, id: RequestId) {
-        let Some(request) = state.requests.get(id) else { return };
+        let Some(request) = state.requests.get_mut(id) else { return };
         let now = self.clock.now();
+        request.record_arrival(now);
         let is_held_back = !request.outgoing.body.awaits_client();
         let deadline = state.requests.answer_deadline(id, now);
         if deadline.is_some_and(|deadline| deadline <= now) {
             return self.end_upload(state, id, is_held_back);
         }
-        let latest_check = if is_held_back { Micros::MAX } else { now + UPLOAD_CHECK_INTERVAL };
+        let latest_check = now + UPLOAD_CHECK_INTERVAL;
         let next_check = deadline.map_or(latest_check, |deadline| deadline.min(latest_check));
         self.arm(state, next_check, Timer::RequestDeadline(id));
     }
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -1,6 +1,7 @@
 //! Decision driver: passes events to the decision core and carries out its actions. Contains the clock, the
 //! timers and the table of pending requests.
 
+mod arrival_history;
 pub mod clock;
 pub mod decision_driver;
 pub mod decision_log;
--- a/crates/gateway/src/driver/request.rs
+++ b/crates/gateway/src/driver/request.rs
@@ -1,6 +1,7 @@
 //! The attributes of a client's request that decisions depend on, and the request's final answer.
 
 use crate::bodies::download::ResponseContent;
+use crate::network::tcp_info::NewestByteAge;
 use crate::operations::request_counts::RequestCounterGuard;
 use grebehook_core::{CustomerId, Micros, RequestArrival, RequestId};
 use hyper::Response;
@@ -18,6 +19,14 @@
     TimedOut,
 }
 
+/// What the driver asks of the connection on which a request arrives.
+pub trait ClientInput {
+    /// Returns the time since the client's newest byte reached this machine.
+    fn newest_byte_age(&self) -> NewestByteAge;
+    /// Returns the number of bytes that have reached this machine and have not been read.
+    fn unread_bytes(&self) -> u64;
+}
+
 /// Attributes of a client's request, parsed from its head.
 pub struct RequestHead {
     /// Index of the request's class.
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -1,9 +1,9 @@
 //! Table of the requests that await an answer or have an attempt in flight.
 
+use crate::driver::arrival_history::{ArrivalHistory, ArrivalSample};
 use crate::driver::clock::Clock;
-use crate::driver::request::Answer;
+use crate::driver::request::{Answer, ClientInput};
 use crate::driver::timers::Timer;
-use crate::network::tcp_info::NewestByteAge;
 use crate::servers::attempt::{AttemptConnection, OutgoingRequest};
 use grebehook_core::{AttemptStatus, Micros, RequestId, ServerId};
 use hyper::header::HeaderValue;
@@ -58,8 +58,10 @@
     pub deadline: Micros,
     /// Time for which the client waits after the arrival of the request's last byte.
     client_timeout: Micros,
-    /// Returns the time since the arrival of the client's newest byte.
-    newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
+    /// The connection on which the request arrives.
+    input: Rc<dyn ClientInput>,
+    /// The history of the arrival of a streamed body.
+    arrival: ArrivalHistory,
     /// Number of attempts made.
     pub attempts: u32,
     /// Whether the decision core has been notified that the body cannot be sent again.
@@ -129,19 +131,40 @@
         window_end.map_or(attempt_deadline, |end| attempt_deadline.min(end))
     }
 
+    /// Records how much of a streamed body has arrived by now.
+    pub fn record_arrival(&mut self, now: Micros) {
+        let body = &self.outgoing.body;
+        let unread = self.input.unread_bytes();
+        self.arrival.record(ArrivalSample {
+            at: now,
+            arrived: body.taken() + unread,
+            is_caught_up: unread == 0 && body.awaits_client(),
+            held_back_for: body.held_back_for().map_or(0, |time| time.as_micros() as Micros),
+        });
+    }
+
     /// Returns the time by which a request whose body is held back must be answered; `None` while more data of
     /// the client is awaited. The newest byte may be the last one, from which the client's time counts; and a
     /// server that takes nothing for long is not worth waiting for.
     fn held_back_deadline(&self, now: Micros) -> Option<Micros> {
-        let held_back_for = self.outgoing.body.held_back_for()?.as_micros() as Micros;
-        let age = self.newest_byte_age().estimate.as_micros() as Micros;
-        let client_deadline = now.saturating_sub(age) + self.client_timeout;
-        Some(client_deadline.min(now.saturating_sub(held_back_for) + MAX_HELD_BACK_TIME))
+        let body = &self.outgoing.body;
+        let earliest_write = self.arrival.earliest_write(body.taken() + self.input.unread_bytes());
+        let held_back_for = body.held_back_for().map(|time| time.as_micros() as Micros);
+        if earliest_write.is_none() && held_back_for.is_none() {
+            return None;
+        }
+        let newest_byte_at =
+            || now.saturating_sub(self.input.newest_byte_age().estimate.as_micros() as Micros);
+        let client_deadline = earliest_write.unwrap_or_else(newest_byte_at) + self.client_timeout;
+        let stall_deadline = held_back_for.map(|time| now.saturating_sub(time) + MAX_HELD_BACK_TIME);
+        Some(stall_deadline.map_or(client_deadline, |deadline| deadline.min(client_deadline)))
     }
 
-    /// Returns the time since the newest byte of the client reached this machine.
-    pub fn newest_byte_age(&self) -> NewestByteAge {
-        (self.newest_byte_age)()
+    /// Returns the time since the client can have written the last byte of a body that has been read to its end.
+    pub fn age_of_last_byte(&self, now: Micros) -> Micros {
+        let earliest_write = self.arrival.earliest_write(self.outgoing.body.taken());
+        let written_for = earliest_write.map_or(0, |written_at| now.saturating_sub(written_at));
+        written_for.max(self.input.newest_byte_age().at_least.as_micros() as Micros)
     }
 
     /// Sets the time by which the attempt in flight must have its response.
@@ -183,8 +206,10 @@
     pub deadline: Micros,
     /// Time for which the client waits after the arrival of the request's last byte.
     pub client_timeout: Micros,
-    /// Returns the time since the arrival of the client's newest byte.
-    pub newest_byte_age: Rc<dyn Fn() -> NewestByteAge>,
+    /// The connection on which the request arrives.
+    pub input: Rc<dyn ClientInput>,
+    /// Time at which the request is submitted.
+    pub submitted_at: Micros,
     /// Time for which servers deduplicate retries of the request, if it has an idempotency key.
     pub deduplication_window: Option<Micros>,
 }
@@ -225,7 +250,8 @@
             outgoing: Rc::new(request.outgoing),
             deadline: request.deadline,
             client_timeout: request.client_timeout,
-            newest_byte_age: request.newest_byte_age,
+            input: request.input,
+            arrival: ArrivalHistory::new(request.submitted_at),
             attempts: 0,
             body_consumption_reported: false,
             in_flight: None,
--- a/crates/gateway/src/network/tcp_info.rs
+++ b/crates/gateway/src/network/tcp_info.rs
@@ -39,5 +39,10 @@
     Ok(NewestByteAge { at_least: estimate.saturating_sub(MAX_KERNEL_TICK), estimate })
 }
 
+/// Returns the number of bytes of a connection that have reached this machine and have not been read.
+pub fn unread_bytes(connection: &impl AsFd) -> io::Result<u64> {
+    Ok(rustix::io::ioctl_fionread(connection)?)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -27,6 +27,10 @@
 const MAX_CHUNKS: usize = 100;
 /// Maximum number of bytes that a slow server reads at a time.
 const SLOW_READ_BYTES: usize = 4 << 10;
+/// Maximum number of bytes that a server reads at a time which takes the body for longer than its client waits.
+const STEADY_READ_BYTES: usize = 64 << 10;
+/// Number of chunks of a body that is longer than the systems' buffers on the way, but for the end of it.
+const SLOW_BODY_CHUNKS: usize = 48;
 /// Delay of a slow server between two reads.
 const SLOW_READ_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -40,12 +44,17 @@
 impl HeldBackRig {
     /// Starts a gateway and sends it the head of a request with a chunked body.
     fn start(client_timeout_ms: u64) -> HeldBackRig {
+        HeldBackRig::start_with_framing(client_timeout_ms, "Transfer-Encoding: chunked")
+    }
+
+    /// Starts a gateway and sends it the head of a request.
+    fn start_with_framing(client_timeout_ms: u64, framing: &str) -> HeldBackRig {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let deployment = Deployment::with_endpoint(listener.local_addr().unwrap()).operator_interface();
         let gateway = deployment.deadline_us(NON_IDEMPOTENT, LONG_TIMEOUT_MS * 1_000).start();
         let mut client = gateway.connect();
         let request = with_client_timeout(&non_idempotent_request(""), client_timeout_ms);
-        client.write(&with_framing(&request, "Transfer-Encoding: chunked"));
+        client.write(&with_framing(&request, framing));
         HeldBackRig { listener, gateway, client }
     }
 
@@ -98,6 +107,40 @@
     rig.assert_rejected_in_time();
 }
 
+/// Guards against an answer that is late by the time for which a slow server holds the end of a body back: the client
+/// has written all of it, but the gateway's machine takes it only as the server goes on.
+#[test]
+fn large_request_that_a_server_reads_slowly_is_answered_in_time() {
+    for (framing, end) in [("Transfer-Encoding: chunked".to_owned(), "0\r\n\r\n"), (length_of_chunks(), "")] {
+        let mut rig = HeldBackRig::start_with_framing(CLIENT_TIMEOUT_MS, &framing);
+        let listener = rig.listener.try_clone().unwrap();
+        thread::spawn(move || {
+            let mut slow = accept(&listener);
+            let mut data = vec![0; STEADY_READ_BYTES];
+            while slow.read(&mut data).is_ok_and(|read| read > 0) {
+                thread::sleep(SLOW_READ_INTERVAL);
+            }
+        });
+        let chunk = encode_chunk(&vec![b'x'; CHUNK_BYTES]);
+        // The gateway may give the body up before it has taken all of it.
+        let is_written = (0..SLOW_BODY_CHUNKS).all(|_| rig.client.try_write_bytes(&chunk));
+        if is_written {
+            rig.client.try_write_bytes(end.as_bytes());
+        }
+        let ended_at = Instant::now();
+        let status = rig.client.expect_response().status();
+        let elapsed = ended_at.elapsed();
+        let latest = Duration::from_millis(CLIENT_TIMEOUT_MS) + ANSWER_SLACK;
+        assert!(status == 429 || status == 502, "{status}");
+        assert!(elapsed <= latest, "{framing}: {elapsed:?}, all written: {is_written}");
+    }
+}
+
+/// Returns the header with the length of [`SLOW_BODY_CHUNKS`] encoded chunks.
+fn length_of_chunks() -> String {
+    format!("Content-Length: {}", SLOW_BODY_CHUNKS * encode_chunk(&vec![b'x'; CHUNK_BYTES]).len())
+}
+
 /// The client of a request that a server holds back would wait for longer than the process runs.
 #[test]
 fn request_whose_server_hangs_in_its_body_is_answered_at_shutdown() {
