Bound the customers that a gateway keeps a record of by its memory

Cause: CustomerTable keeps a record of each name until its quota must be full again, (burst / rate) times the gateways of the customer, and at least 1 s. Names are chosen by the peer, and requests for more units than a full quota are rejected without an attempt, 40,000 a second on one connection. The text of a hand-over holds them all as well. Class of the fault: a table that grows by names a peer chooses. Change: Gateway::limit_customers; a full table evicts, of those with nothing in flight, the customer that would be idle first, and looks at 64 entries at most. The gateway sets the limit from its memory (4,000 customers at 32 MB, 24,000 at most, so that a successor can read them all). The queue of gossip for one gateway, which grows by the same names, keeps 4,096.

--- a/crates/core/src/customer/table.rs
+++ b/crates/core/src/customer/table.rs
@@ -5,17 +5,37 @@
 use crate::api::{CustomerId, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Maximum number of customers that are visited to make room for a new one.
+const MAX_VISITS_PER_INSERTION: usize = 64;
+
 /// The customers of a gateway, by identifier, with their eviction queue.
-#[derive(Default)]
 pub(crate) struct CustomerTable {
     customers: BTreeMap<CustomerId, Box<Customer>>,
+    /// Number of customers that the table holds at most, besides those with something in flight.
+    max_customers: usize,
     /// Customers by the time of their next visit, before which they cannot be idle.
     idle_queue: BTreeSet<(Micros, CustomerId)>,
     /// Number of customers that evictions have visited since the start.
     visited: u64,
 }
 
+impl Default for CustomerTable {
+    fn default() -> CustomerTable {
+        CustomerTable {
+            customers: BTreeMap::new(),
+            max_customers: usize::MAX,
+            idle_queue: BTreeSet::new(),
+            visited: 0,
+        }
+    }
+}
+
 impl CustomerTable {
+    /// Sets the number of customers that the table holds at most, besides those with something in flight.
+    pub fn set_max_customers(&mut self, max_customers: usize) {
+        self.max_customers = max_customers;
+    }
+
     /// Returns the number of customers that evictions have visited since the start.
     pub fn visited(&self) -> u64 {
         self.visited
@@ -37,12 +57,41 @@
         self.customers.iter_mut().map(|(id, customer)| (*id, customer.as_mut()))
     }
 
-    /// Adds a customer or replaces its record.
+    /// Adds a customer or replaces its record. A full table evicts the customer that would be idle first.
     pub fn insert(&mut self, id: CustomerId, customer: Customer) {
+        if self.customers.len() >= self.max_customers && !self.customers.contains_key(&id) {
+            self.evict_first_idle();
+        }
         self.idle_queue.insert((customer.idle_at(), id));
         self.customers.insert(id, Box::new(customer));
     }
 
+    /// Evicts the customer that would be idle first among those with nothing in flight. Looks at no more than
+    /// [`MAX_VISITS_PER_INSERTION`] of them.
+    fn evict_first_idle(&mut self) {
+        let mut later = Vec::new();
+        let mut first_idle = None;
+        while let Some((due, id)) = self.idle_queue.pop_first() {
+            self.visited += 1;
+            let Some(customer) = self.customers.get(&id) else { continue };
+            let idle_at = customer.idle_at();
+            later.push((idle_at.max(due), id));
+            if !customer.is_busy() {
+                let earlier = first_idle.filter(|(first, _)| *first <= idle_at);
+                first_idle = earlier.or(Some((idle_at, id)));
+            }
+            let is_settled = first_idle.is_some_and(|(first, _)| first <= due);
+            if is_settled || later.len() >= MAX_VISITS_PER_INSERTION {
+                break;
+            }
+        }
+        let evicted = first_idle.map(|(_, id)| id);
+        if let Some(id) = evicted {
+            self.customers.remove(&id);
+        }
+        self.idle_queue.extend(later.into_iter().filter(|(_, id)| Some(*id) != evicted));
+    }
+
     /// Evicts the customers that have nothing in flight and whose state equals that of a new customer.
     pub fn evict_idle(&mut self, now: Micros) {
         let mut later = Vec::new();
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -100,6 +100,21 @@
         })
     }
 
+    /// Limits the number of customers that the gateway keeps a record of, besides those with a request in flight. Beyond
+    /// it, the customer that has not been used for longest is forgotten, and counts as new when it returns.
+    pub fn limit_customers(&mut self, max_customers: usize) {
+        self.customers.set_max_customers(max_customers);
+    }
+
+    /// Returns whether a timer no longer has any effect, because its request has ended.
+    pub fn is_obsolete(&self, timer: TimerId) -> bool {
+        match timer.into() {
+            Timer::Tick => false,
+            Timer::RequestDeadline(id) => !self.requests.contains_key(&id),
+            Timer::QueueTimeout(id) => !self.requests.get(&id).is_some_and(|request| request.queued),
+        }
+    }
+
     /// Handles one event and appends the resulting actions, in the order in which to carry them out.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.servers.advance(now);
--- a/crates/core/src/gossip/queue.rs
+++ b/crates/core/src/gossip/queue.rs
@@ -3,6 +3,9 @@
 use crate::api::CustomerId;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Maximum number of customers that are queued for one gateway.
+const MAX_QUEUED_CUSTOMERS: usize = 4_096;
+
 /// Customers whose usage is to be published, by receiving gateway.
 #[derive(Default)]
 pub(crate) struct GossipQueue {
@@ -11,9 +14,12 @@
 }
 
 impl GossipQueue {
-    /// Queues a customer for a gateway, unless it is queued there already.
+    /// Queues a customer for a gateway, unless it is queued there already. A full queue drops the lowest id.
     pub fn insert(&mut self, to: usize, id: CustomerId) {
-        self.queued.entry(to).or_default().insert(id);
+        let queued = self.queued.entry(to).or_default();
+        if queued.insert(id) && queued.len() > MAX_QUEUED_CUSTOMERS {
+            queued.pop_first();
+        }
     }
 
     /// Returns the gateways with queued customers, in ascending order.
--- a/crates/core/tests/unit/customer_table.rs
+++ b/crates/core/tests/unit/customer_table.rs
@@ -119,3 +119,38 @@
     assert_eq!(changed.take(4), ids(2..4));
     assert!(changed.take(4).is_empty());
 }
+
+#[test]
+fn full_table_evicts_the_customer_that_would_be_idle_first_and_none_in_flight() {
+    let mut table = CustomerTable::default();
+    table.set_max_customers(3);
+    let in_flight = Customer { in_flight: 1, ..customer(SECOND, 1) };
+    table.insert(CustomerId(1), in_flight);
+    for id in 2..4 {
+        table.insert(CustomerId(id), customer(id * SECOND, 1));
+    }
+    let used_again = table.get_mut(CustomerId(2)).expect("the table has room for three customers");
+    used_again.bucket.set_refilled_at(9 * SECOND);
+    table.insert(CustomerId(4), customer(4 * SECOND, 1));
+    let kept = |table: &CustomerTable| -> Vec<u64> {
+        (1..=5).filter(|id| table.get(CustomerId(*id)).is_some()).collect()
+    };
+    assert_eq!(kept(&table), [1, 2, 4]);
+    table.insert(CustomerId(5), customer(5 * SECOND, 1));
+    assert_eq!(kept(&table), [1, 2, 5]);
+    let replaced = customer(6 * SECOND, 1);
+    table.insert(CustomerId(5), replaced);
+    assert_eq!(kept(&table), [1, 2, 5]);
+}
+
+#[test]
+fn insertion_into_a_full_table_visits_a_bounded_number_of_customers() {
+    let mut table = CustomerTable::default();
+    table.set_max_customers(10_000);
+    for id in 0..10_000 {
+        table.insert(CustomerId(id), Customer { in_flight: 1, ..customer(SECOND, 1) });
+    }
+    table.insert(CustomerId(10_000), customer(SECOND, 1));
+    assert!(table.visited() <= 64, "{} customers were visited", table.visited());
+    assert!(table.get(CustomerId(0)).is_some() && table.get(CustomerId(10_000)).is_some());
+}
--- a/crates/gateway/src/lifecycle/resources.rs
+++ b/crates/gateway/src/lifecycle/resources.rs
@@ -13,8 +13,12 @@
 /// Memory of a connection to a server that carries a request: its task, that of the attempt, and the buffers that hyper
 /// keeps for it.
 const SERVER_CONNECTION_BYTES: usize = 32 << 10;
+/// Memory of the record of a customer, with its places in indexes and queues.
+const CUSTOMER_BYTES: usize = 640;
+/// Maximum number of customers, whatever the memory: the records of more than these do not fit into a hand-over.
+const MAX_CUSTOMERS: usize = 24_000;
 /// Share of the memory beyond [`PROCESS_BYTES`] for the connections of clients. What the shares leave is for the records
-/// of requests, customers and servers.
+/// of servers and for what no share is exact about.
 const CLIENT_CONNECTION_PERCENT: usize = 27;
 /// Share of the memory for connections to servers.
 const SERVER_CONNECTION_PERCENT: usize = 37;
@@ -23,6 +27,9 @@
 /// Share of the memory for request bodies.
 const REQUEST_PERCENT: usize = 13;
 
+/// Share of the memory for the records of customers.
+const CUSTOMER_PERCENT: usize = 10;
+
 /// Limits on the resources of each part of the gateway.
 pub struct ResourceBudget {
     /// Limit on connections of clients.
@@ -33,6 +40,8 @@
     pub response_bytes: usize,
     /// Limit on the memory for request bodies, in bytes.
     pub request_bytes: usize,
+    /// Limit on the customers that the decision core keeps a record of.
+    pub customers: usize,
 }
 
 impl ResourceBudget {
@@ -52,6 +61,7 @@
                 .min(share(SERVER_CONNECTION_PERCENT) / SERVER_CONNECTION_BYTES),
             response_bytes: share(RESPONSE_PERCENT),
             request_bytes: share(REQUEST_PERCENT),
+            customers: (share(CUSTOMER_PERCENT) / CUSTOMER_BYTES).min(MAX_CUSTOMERS),
         }
     }
 }
--- a/crates/gateway/src/lifecycle/services.rs
+++ b/crates/gateway/src/lifecycle/services.rs
@@ -38,7 +38,8 @@
 pub async fn start(config: &mut Config, resources: &ResourceBudget) -> Result<Services, RunError> {
     let clock = Clock::start();
     let gateway = Gateway::new(config.settings.clone(), config.seed, clock.now());
-    let gateway = gateway.map_err(RejectedSettings::from)?;
+    let mut gateway = gateway.map_err(RejectedSettings::from)?;
+    gateway.limit_customers(resources.customers);
     let transports = create_transports(config, resources).await?;
     let counter = transports.counter.clone();
     let peers = transports.peers.clone();
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -5,6 +5,7 @@
 mod counter;
 mod discovery;
 mod faults;
+mod floods;
 mod held_back_uploads;
 mod late_reads;
 mod lifecycle;
--- a/crates/gateway/tests/loopback/rig/request.rs
+++ b/crates/gateway/tests/loopback/rig/request.rs
@@ -63,3 +63,10 @@
 pub fn with_header_lines(request: &str, lines: &str) -> String {
     request.replacen("Host: service.internal\r\n", &format!("Host: service.internal\r\n{lines}"), 1)
 }
+
+/// Returns the request with another id.
+pub fn with_id(request: &str, id: u64) -> String {
+    let (before, rest) = request.split_once("X-Call-Id: ").expect("the request has an id");
+    let (_, after) = rest.split_once("\r\n").expect("the id ends with its line");
+    format!("{before}X-Call-Id: {id:016x}\r\n{after}")
+}
