End the turn of a client that sends at full speed

Cause: two turns without a bound. ClientStream::has_disconnected, which each attempt calls before it writes, read the client's input with direct system calls until there was none: a client that sends at full speed always has more, up to all that the system holds for it. And a connection with many requests in hyper's buffer answered up to 16 of them before any other, and again before the runtime looked for other input. Class of the fault: a turn that one connection can keep. Change: the search for a client's end stops behind 8 KiB of further input, and the request is refused, as its client may have gone unseen; clients send one request at a time. After four requests without waiting for input a connection yields to all others. Evidence: unit test: with 60 KiB waiting, 9 KiB at most are read (all before).

--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Interval between checks for connections whose timeouts have expired.
@@ -209,12 +210,15 @@
     }
 
     /// Returns the response to a request, which announces the close of the connection if the server is
-    /// stopping.
+    /// stopping. A client that sends many requests at once waits for others between them.
     async fn respond(
         &self,
         client: &Rc<ClientConnection>,
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
+        if client.stream.ends_turn() {
+            yield_now().await;
+        }
         let mut response = self.handler.respond(client, request).await;
         if self.stopping.get() {
             announce_close(&mut response);
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -22,6 +22,8 @@
 
 /// Maximum amount of input that is stored while a request is in progress; clients send one request at a time.
 const MAX_READ_AHEAD_BYTES: usize = 8 << 10;
+/// Number of requests of a connection that are served before other connections get their turn.
+const MAX_REQUESTS_PER_TURN: u32 = 4;
 /// Number of bytes read per call while a request is in progress.
 const READ_AHEAD_CHUNK_BYTES: usize = 1024;
 
@@ -63,6 +65,8 @@
     /// must reach the service first: if hyper read on and found that the client had closed its sending side,
     /// it would drop the request.
     defers_next_read: Cell<bool>,
+    /// Number of requests that have been read since the client's input was last waited for.
+    requests_since_wait: Cell<u32>,
     /// Time at which part of a response was last written, or a response began.
     last_written_at: Cell<Instant>,
     /// Time at which bytes were last received, or the connection was accepted.
@@ -85,6 +89,7 @@
             is_responding: Cell::new(false),
             waiting_for_disconnect: Cell::new(false),
             defers_next_read: Cell::new(false),
+            requests_since_wait: Cell::new(0),
             last_written_at: Cell::new(Instant::now()),
             last_read_at: Cell::new(Instant::now()),
         })
@@ -125,6 +130,14 @@
         self.request_began_at.set(if is_between_requests { None } else { Some(Instant::now()) });
     }
 
+    /// Records that a request has been read. Returns whether the connection has had its turn and must let others go on.
+    pub fn ends_turn(&self) -> bool {
+        let requests = self.requests_since_wait.get() + 1;
+        let ends_turn = requests > MAX_REQUESTS_PER_TURN;
+        self.requests_since_wait.set(if ends_turn { 0 } else { requests });
+        ends_turn
+    }
+
     /// Returns whether bytes have arrived that hyper has not read.
     pub fn has_unread_input(&self) -> bool {
         let input = self.input.borrow();
@@ -136,14 +149,15 @@
         matches!(socket2::SockRef::from(socket.get_ref()).peek(&mut byte), Ok(read) if read > 0)
     }
 
-    /// Returns whether the client has closed its sending side or the connection is broken. This queries the
-    /// operating system, because the runtime's readiness is only as recent as its last poll for events. Input
-    /// that precedes the end is stored.
+    /// Returns whether the client has closed its sending side, or may have done so unseen, or the connection is broken.
+    /// This queries the operating system, because the runtime's readiness is only as recent as its last poll for
+    /// events. Input that precedes the end is stored. Behind more than [`MAX_READ_AHEAD_BYTES`] the end is not searched
+    /// for, since a client that sends at full speed always has more; clients send one request at a time.
     pub fn has_disconnected(&self) -> bool {
         let mut data = [0; READ_AHEAD_CHUNK_BYTES];
         let mut input = self.input.borrow_mut();
         loop {
-            if input.read_closed {
+            if input.read_closed || input.read_ahead_overflowed {
                 return true;
             }
             let Some(socket) = &input.socket else { return true };
@@ -288,3 +302,6 @@
         self.waiting_for_disconnect.set(false);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/clients/stream/transport.rs
+++ b/crates/gateway/src/clients/stream/transport.rs
@@ -24,7 +24,11 @@
         }
         let filled_before = buf.filled().len();
         if !stream.take_read_ahead(buf) {
-            ready!(stream.poll_socket(|socket| socket.poll_read(cx, buf)))?;
+            let result = stream.poll_socket(|socket| socket.poll_read(cx, buf));
+            if result.is_pending() {
+                stream.requests_since_wait.set(0);
+            }
+            ready!(result)?;
         }
         stream.record_read(&buf.filled()[filled_before..], buf.remaining() == 0);
         Poll::Ready(Ok(()))
