Do not forward the end of a long body whose client has closed

Cause: while a body is incomplete, the client's end is looked for in the runtime's readiness (is_read_closed). The end of a client that closed behind a full receive window is not there before the rest of its body has been read, and by then the last byte has been forwarded. Class of the fault: an effect that outlives its client. Change: Upload looks for the client's end once more, with a system call, when it has read the last part of the body, and fails instead of passing that part on. The server gets no whole request. Pipelined requests of a client that closed behind 2 MB of them are not forwarded before this change either (excluded by the other new test).

--- a/crates/gateway/src/bodies/error.rs
+++ b/crates/gateway/src/bodies/error.rs
@@ -14,6 +14,9 @@
     /// The client's time was over, and the sender did not go on with a long answer.
     #[error("answer was not whole when the client's time was over")]
     Late,
+    /// The client disconnected before the last part of its body was forwarded.
+    #[error("client disconnected before its body was forwarded")]
+    ClientDisconnected,
     /// An earlier attempt has forwarded part of the body, which is not retained.
     #[error("body has already been forwarded by an earlier attempt")]
     AlreadyForwarded,
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -44,6 +44,8 @@
     newest_attempt: Cell<AttemptNumber>,
     /// Called once all of a streamed body has been forwarded.
     on_forwarded: RefCell<Option<Box<dyn FnOnce()>>>,
+    /// Reports whether the client has disconnected. The rest of a body whose client has gone is not forwarded.
+    client_has_disconnected: Box<dyn Fn() -> bool>,
     /// The memory of `buffered`; `None` for a very short body.
     _buffer_memory: Option<Reservation>,
     /// The memory for forwarding a streamed body.
@@ -77,10 +79,14 @@
         length: Option<u64>,
         forwarding_memory: Option<Reservation>,
         memory: &BodyMemory,
+        client_has_disconnected: impl Fn() -> bool + 'static,
     ) -> Upload {
         let replay = body.remainder.is_some().then(|| ReplayBuffer::new(memory.spare()));
-        let forwarding_memory = forwarding_memory.filter(|_| body.remainder.is_some());
-        Upload { _forwarding_memory: forwarding_memory, ..Upload::with_replay(body, length, replay) }
+        Upload {
+            _forwarding_memory: forwarding_memory.filter(|_| body.remainder.is_some()),
+            client_has_disconnected: Box::new(client_has_disconnected),
+            ..Upload::with_replay(body, length, replay)
+        }
     }
 
     /// Creates the body of a request that has none.
@@ -106,6 +112,7 @@
             last_taken_at: Cell::new(Instant::now()),
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
+            client_has_disconnected: Box::new(|| false),
             _buffer_memory: body.reservation,
             _forwarding_memory: None,
         }
@@ -248,7 +255,7 @@
         let Some(remainder) = guard.as_mut() else {
             return Poll::Ready(Some(Err(BodyError::AlreadyForwarded)));
         };
-        let data = loop {
+        let mut data = loop {
             match ready!(remainder.poll_frame(cx)) {
                 // Trailers are not forwarded.
                 Ok(Some(frame)) => {
@@ -265,6 +272,10 @@
             Some(Ok(_)) => remainder.is_end_stream(),
             Some(Err(_)) | None => true,
         };
+        // The client's end can be seen only now that the body before it has been read.
+        if is_end && (self.client_has_disconnected)() {
+            data = Some(Err(BodyError::ClientDisconnected));
+        }
         self.state.set(match &data {
             Some(Err(_)) => UploadState::Failed,
             Some(Ok(data)) => self.state_after(data, is_end, attempt),
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -172,7 +172,9 @@
         let spare_memory = self.body_memory.spare();
         let beginning = timeout_at(deadline, read_beginning(body, &spare_memory, pending())).await;
         let beginning = beginning.ok().and_then(Result::ok).ok_or(RequestError::BodyIncomplete)?;
-        Ok(Upload::new(beginning, length, memory, &self.body_memory))
+        let stream = client.stream.clone();
+        let client_has_disconnected = move || stream.has_disconnected();
+        Ok(Upload::new(beginning, length, memory, &self.body_memory, client_has_disconnected))
     }
 
     /// Reserves memory for a body that may have to be forwarded as it arrives, once that is available.
--- a/crates/gateway/tests/loopback/client_disconnects.rs
+++ b/crates/gateway/tests/loopback/client_disconnects.rs
@@ -3,6 +3,8 @@
 //! Several tests pause the gateway while clients disconnect. When the gateway resumes, it finds the requests,
 //! the FINs and all other events of the meantime at once, as does a gateway that is short of processor time.
 
+use crate::rig::accept::accept;
+use crate::rig::chunks::encode_chunk;
 use crate::rig::client::Client;
 use crate::rig::deployment::{Deployment, KEYED};
 use crate::rig::endpoint::Endpoint;
@@ -11,12 +13,13 @@
 use crate::rig::message::{read_head, Message};
 use crate::rig::request::{
     for_customer, idempotent_request, keyed_request, non_idempotent_request, with_client_timeout,
-    HEALTH_CHECK,
+    with_framing, HEALTH_CHECK,
 };
 use crate::rig::server::{Reply, Server};
 use crate::rig::unreachable::UnreachableListener;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Number of clients that disconnect in a test.
@@ -26,6 +29,13 @@
 /// Number of requests of a connected client, sent after the other clients have disconnected.
 const LATER_REQUESTS: usize = 5;
 
+/// Number of clients that close behind many requests.
+const CLOSING_CLIENTS: usize = 8;
+/// Number of requests that a client sends at once before it closes: more than the system's buffers hold at first.
+const UNREAD_REQUESTS: usize = 8_000;
+/// Length of a body of which much is unread when its client closes.
+const LONG_BODY_BYTES: usize = 1_500_000;
+
 /// Returns a request for a path, with a client timeout longer than a test takes.
 fn request_for(path: &str) -> String {
     with_client_timeout(&idempotent_request().replace("/api?claim=7", path), 20_000)
@@ -255,3 +265,52 @@
         assert!(client.response().is_none());
     }
 }
+
+/// The requests fill the system's buffers at both ends, and the client's end is behind all of them.
+#[test]
+fn requests_of_a_client_that_closed_with_much_still_unread_are_not_forwarded() {
+    let server = Server::healthy();
+    let gateway = gateway_with_unlimited_deadline(&server);
+    gateway.pause();
+    let closing: Vec<thread::JoinHandle<()>> = (0..CLOSING_CLIENTS)
+        .map(|_| {
+            let mut client = gateway.connect();
+            let requests: String = (0..UNREAD_REQUESTS).map(|_| request_for("/disconnecting")).collect();
+            thread::spawn(move || {
+                client.try_write_bytes(requests.as_bytes());
+            })
+        })
+        .collect();
+    closing.into_iter().for_each(|client| client.join().unwrap());
+    gateway.resume();
+    assert_only_connected_client_is_served(&gateway, &server);
+}
+
+/// The client's end is behind the rest of its body, which the gateway reads only as a server takes it.
+#[test]
+fn long_body_of_a_client_that_closed_with_much_still_unread_does_not_come_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gateway = Deployment::with_endpoint(listener.local_addr().unwrap()).start();
+    for framing in [format!("Content-Length: {LONG_BODY_BYTES}"), "Transfer-Encoding: chunked".to_owned()] {
+        gateway.pause();
+        let mut client = gateway.connect();
+        let request = with_client_timeout(&non_idempotent_request(""), 1_900);
+        client.write(&with_framing(&request, &framing));
+        let body = vec![b'x'; LONG_BODY_BYTES];
+        let is_chunked = framing.ends_with("chunked");
+        client.write_bytes(&if is_chunked {
+            [encode_chunk(&body), b"0\r\n\r\n".to_vec()].concat()
+        } else {
+            body
+        });
+        drop(client);
+        gateway.resume();
+        let mut server = accept(&listener);
+        read_head(&mut server);
+        let mut received = Vec::new();
+        let _ = server.read_to_end(&mut received);
+        let is_whole =
+            if is_chunked { received.ends_with(b"0\r\n\r\n") } else { received.len() == LONG_BODY_BYTES };
+        assert!(!is_whole, "{framing}: the body came whole to a server after its client had closed");
+    }
+}
