Do not forward an id again that may have run, here or at the other process

Cause: RequestTable knew an id for as long as its request was open. With the end of the attempt, which outlives a client that leaves, the id was forgotten and accepted again. The other process of a hand-over never knew it: the state that is handed over holds quotas only, and until SIGTERM both processes forward. Class of the fault: an effect that outlives its client, here and in the other process. Change: RecentIds remembers the ids of requests that may have run and must not run twice (keyed and unsafe classes) for the deadline of their class, 8,192 at most, and answers a repeat with 409 like that of an open request. IdExchange tells them to the other process of a hand-over over a socket of its own in TMPDIR: those of before when the successor connects, each further one before it is forwarded, both ways; each process reads the news before it accepts a request. An exchange that the other process does not read ends at the socket's buffer, with a warning.

--- a/crates/gateway/src/clients/request_error.rs
+++ b/crates/gateway/src/clients/request_error.rs
@@ -25,8 +25,8 @@
     /// gateway.
     #[error("the body's length is ambiguous")]
     AmbiguousBodyLength,
-    /// A request with the same ID is still in progress on this gateway.
-    #[error("a request of this id is open")]
+    /// A request with the same ID is still in progress on this gateway, or may have run and must not run again.
+    #[error("a request of this id is open or may have run")]
     DuplicateId,
     /// The client has disconnected or closed its sending side.
     #[error("refused")]
--- a/crates/gateway/src/clients/request_head.rs
+++ b/crates/gateway/src/clients/request_head.rs
@@ -50,6 +50,12 @@
                 Idempotency::IdempotencyKey { window, .. } => Some(window),
                 Idempotency::Idempotent | Idempotency::NonIdempotent => None,
             },
+            id_guard_time: match class_settings.idempotency {
+                Idempotency::Idempotent => None,
+                Idempotency::IdempotencyKey { .. } | Idempotency::NonIdempotent => {
+                    Some(class_settings.deadline)
+                }
+            },
             is_retry: headers::is_retry(headers),
         })
     }
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -10,6 +10,7 @@
 use crate::control::peers::GossipSocket;
 use crate::driver::clock::Clock;
 use crate::driver::decision_log::DecisionLog;
+use crate::driver::id_exchange::IdExchange;
 use crate::driver::request::Answer;
 use crate::driver::request_table::RequestTable;
 use crate::driver::timers::{Timer, TimerQueue};
@@ -21,6 +22,8 @@
 };
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::io;
+use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -46,6 +49,8 @@
 struct DriverState {
     decision_core: Gateway,
     requests: RequestTable,
+    /// Exchange of request ids with the other processes of hand-overs.
+    id_exchange: IdExchange,
     timers: TimerQueue,
     /// Queue of events that the decision core has not handled yet.
     events: VecDeque<Event>,
@@ -78,6 +83,7 @@
         let state = DriverState {
             decision_core,
             requests: RequestTable::default(),
+            id_exchange: IdExchange::default(),
             timers,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -134,6 +140,27 @@
         }
     }
 
+    /// Begins the exchange of request ids with the other process of a hand-over.
+    pub fn begin_id_exchange(&self, stream: UnixStream) -> io::Result<()> {
+        let now = self.clock.now();
+        let DriverState { requests, id_exchange, .. } = &mut *self.state.borrow_mut();
+        requests.remember_forwarded(now);
+        id_exchange.begin(now, stream, requests.recent_ids())
+    }
+
+    /// Reads the ids that other processes have sent. Returns whether there is another process.
+    pub fn receive_ids(&self) -> bool {
+        let DriverState { requests, id_exchange, .. } = &mut *self.state.borrow_mut();
+        id_exchange.receive(self.clock.now(), requests.recent_ids());
+        id_exchange.is_active()
+    }
+
+    /// Reads the ids that other processes have sent. Returns whether those that they knew at the beginning are all there.
+    pub fn receive_initial_ids(&self) -> bool {
+        self.receive_ids();
+        self.state.borrow().id_exchange.has_initial_ids()
+    }
+
     /// Closes the idle connections to servers.
     pub fn close_idle_server_connections(&self) {
         self.transports.upstream.pool.close_idle();
@@ -180,8 +207,10 @@
     fn perform(self: &Rc<Self>, state: &mut DriverState, now: Micros, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.start_attempt(state, now, id, server, timeout),
-            Action::Reject { id, retry_after } => state.requests.answer(id, Answer::Rejected(retry_after)),
-            Action::Fail { id } => state.requests.answer(id, Answer::Failed),
+            Action::Reject { id, retry_after } => {
+                state.requests.answer(now, id, Answer::Rejected(retry_after));
+            }
+            Action::Fail { id } => state.requests.answer(now, id, Answer::Failed),
             Action::Cancel { id, attempt } => {
                 self.abort_if_in_flight(state, id, attempt, AttemptStatus::Cancelled);
             }
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -27,6 +27,9 @@
             state.events.push_back(not_sent.into_event(id, attempt, server, 0, request_finished));
             return;
         }
+        if let Some(recent) = request.guarded_id(now) {
+            state.id_exchange.send(now, &recent);
+        }
         let deadline = request.attempt_deadline(now, Some(timeout).filter(|timeout| *timeout > 0));
         let connection = Rc::new(AttemptConnection::default());
         let deadlines = AttemptDeadlines {
@@ -71,7 +74,7 @@
             request.answer_if_client_disconnected();
         }
         if let Some(served) = outcome.response.take() {
-            state.requests.answer(id, Answer::Served(served));
+            state.requests.answer(self.clock.now(), id, Answer::Served(served));
         }
         self.record_attempt_end(&mut state, id, &ended, outcome);
         self.process_events(&mut state);
@@ -118,7 +121,8 @@
         ended: &InFlightAttempt,
         outcome: AttemptOutcome,
     ) {
-        let elapsed = self.clock.now().saturating_sub(ended.sent_at);
+        let now = self.clock.now();
+        let elapsed = now.saturating_sub(ended.sent_at);
         let request = state.requests.get_mut(id);
         if request.is_some_and(|request| request.record_attempt_end(ended, outcome.status)) {
             state.events.push_back(Event::BodyConsumed { id });
@@ -126,6 +130,6 @@
         let request_finished = !state.requests.is_unanswered(id);
         let event = outcome.into_event(id, ended.attempt, ended.server, elapsed, request_finished);
         state.events.push_back(event);
-        state.requests.remove_if_finished(id);
+        state.requests.remove_if_finished(now, id);
     }
 }
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -15,7 +15,7 @@
 
 impl DecisionDriver {
     /// Submits a client's request to the decision core. The client timeout runs from the arrival of the
-    /// request's last byte at this machine, which `input` tells. Returns `None` while another request with the same `client_request_id` is pending.
+    /// request's last byte at this machine, which `input` tells. Returns `None` while another request with the same `client_request_id` is pending, or may have run and must not run again.
     pub fn submit(
         self: &Rc<Self>,
         client_request_id: HeaderValue,
@@ -28,7 +28,9 @@
         let is_complete = outgoing.body.is_read_to_end();
         let age = if is_complete { input.newest_byte_age().at_least.as_micros() as Micros } else { 0 };
         let deadline = now + head.client_timeout.saturating_sub(age);
-        let InsertedRequest { id, answer } = state.requests.insert(NewRequest {
+        let DriverState { requests, id_exchange, .. } = &mut *state;
+        id_exchange.receive(now, requests.recent_ids());
+        let InsertedRequest { id, answer } = requests.insert(NewRequest {
             client_request_id,
             outgoing,
             deadline,
@@ -36,6 +38,7 @@
             input,
             submitted_at: now,
             deduplication_window: head.deduplication_window,
+            id_guard_time: head.id_guard_time,
         })?;
         let body_incomplete = self.notify_when_body_forwarded(&state, id);
         let first_check = if body_incomplete { now + UPLOAD_CHECK_INTERVAL } else { deadline };
@@ -90,7 +93,7 @@
         if is_unwritten {
             self.abort_attempt(&mut state, id, AttemptStatus::NotSent);
         }
-        state.requests.remove_if_finished(id);
+        state.requests.remove_if_finished(self.clock.now(), id);
         self.process_events(&mut state);
         answer
     }
@@ -113,7 +116,7 @@
             return;
         }
         self.log.log_unanswered_request();
-        state.requests.answer(id, Answer::TimedOut);
+        state.requests.answer(self.clock.now(), id, Answer::TimedOut);
         state.events.push_back(Event::ClientDisconnected { id });
     }
 
@@ -141,7 +144,7 @@
             self.log.log_stalled_upload();
         }
         let answer = request.answer_without_response();
-        state.requests.answer(id, answer);
+        state.requests.answer(self.clock.now(), id, answer);
         state.events.push_back(Event::ClientDisconnected { id });
         let status = if is_held_back { AttemptStatus::ConnectFailed } else { AttemptStatus::NotSent };
         self.abort_attempt(state, id, status);
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -5,6 +5,8 @@
 pub mod clock;
 pub mod decision_driver;
 pub mod decision_log;
+pub mod id_exchange;
+pub mod recent_ids;
 pub mod request;
 pub mod request_table;
 pub mod timers;
--- a/crates/gateway/src/driver/request.rs
+++ b/crates/gateway/src/driver/request.rs
@@ -48,6 +48,9 @@
     /// Time for which servers deduplicate retries of the request, in microseconds, if it has an idempotency
     /// key.
     pub deduplication_window: Option<Micros>,
+    /// Time for which a request of the same id is not accepted once this one may have run, in microseconds; `None` if it
+    /// may run more than once.
+    pub id_guard_time: Option<Micros>,
 }
 
 impl RequestHead {
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::arrival_history::{ArrivalHistory, ArrivalSample};
 use crate::driver::clock::Clock;
+use crate::driver::recent_ids::{RecentId, RecentIds};
 use crate::driver::request::{Answer, ClientInput};
 use crate::driver::timers::Timer;
 use crate::servers::attempt::{AttemptConnection, OutgoingRequest};
@@ -72,6 +73,9 @@
     deduplication_window: Option<Micros>,
     /// Time at which the first attempt that may have run was sent.
     first_run_sent_at: Option<Micros>,
+    /// Time for which a request of the same id is not accepted once this one may have run; `None` if it may run more
+    /// than once.
+    id_guard_time: Option<Micros>,
 }
 
 impl PendingRequest {
@@ -184,6 +188,12 @@
         Some(attempt.attempt)
     }
 
+    /// Returns the id that must not be accepted again from now on; `None` if the request may run more than once.
+    pub fn guarded_id(&self, now: Micros) -> Option<RecentId> {
+        let forgotten_at = now.saturating_add(self.id_guard_time?);
+        Some(RecentId { id: self.client_request_id.as_bytes().into(), forgotten_at })
+    }
+
     /// Records the end of an attempt. Returns true, once per request, if the decision core has to be notified
     /// that the body cannot be sent again.
     pub fn record_attempt_end(&mut self, ended: &InFlightAttempt, status: AttemptStatus) -> bool {
@@ -212,6 +222,9 @@
     pub submitted_at: Micros,
     /// Time for which servers deduplicate retries of the request, if it has an idempotency key.
     pub deduplication_window: Option<Micros>,
+    /// Time for which a request of the same id is not accepted once this one may have run; `None` if it may run more
+    /// than once.
+    pub id_guard_time: Option<Micros>,
 }
 
 /// A request that has just been inserted into the table.
@@ -228,6 +241,8 @@
     requests: HashMap<RequestId, PendingRequest>,
     /// Ids that clients assigned to the requests in the table.
     client_request_ids: HashSet<HeaderValue>,
+    /// Ids of requests that may have run and must not run again.
+    recent_ids: RecentIds,
     /// Id of the newest request.
     last_id: u64,
     /// Time by which every request must have its answer; `None` until a shutdown begins.
@@ -236,9 +251,12 @@
 
 impl RequestTable {
     /// Inserts a request. Returns `None` while another request with the same `client_request_id` is in the
-    /// table.
+    /// table, or may have run and must not run again.
     pub fn insert(&mut self, request: NewRequest) -> Option<InsertedRequest> {
-        if !self.client_request_ids.insert(request.client_request_id.clone()) {
+        let client_request_id = &request.client_request_id;
+        if self.recent_ids.contains(request.submitted_at, client_request_id.as_bytes())
+            || !self.client_request_ids.insert(client_request_id.clone())
+        {
             return None;
         }
         self.last_id += 1;
@@ -257,11 +275,25 @@
             in_flight: None,
             deduplication_window: request.deduplication_window,
             first_run_sent_at: None,
+            id_guard_time: request.id_guard_time,
         };
         self.requests.insert(id, request);
         Some(InsertedRequest { id, answer: receiver })
     }
 
+    /// Returns the ids of requests that may have run and must not run again.
+    pub fn recent_ids(&mut self) -> &mut RecentIds {
+        &mut self.recent_ids
+    }
+
+    /// Remembers the ids of all requests in the table that must not run twice and have been forwarded.
+    pub fn remember_forwarded(&mut self, now: Micros) {
+        let forwarded = self.requests.values().filter(|request| request.attempts > 0);
+        for recent in forwarded.filter_map(|request| request.guarded_id(now)) {
+            self.recent_ids.insert(now, recent);
+        }
+    }
+
     /// Returns a pending request, or `None` once it has been removed.
     pub fn get(&self, id: RequestId) -> Option<&PendingRequest> {
         self.requests.get(&id)
@@ -312,20 +344,25 @@
     }
 
     /// Sends the final answer of a request, unless the request has been answered already.
-    pub fn answer(&mut self, id: RequestId, answer: Answer) {
+    pub fn answer(&mut self, now: Micros, id: RequestId, answer: Answer) {
         if let Some(sender) = self.get_mut(id).and_then(|request| request.answer.take()) {
             // A client that has just disconnected needs no answer.
             let _ = sender.send(answer);
-            self.remove_if_finished(id);
+            self.remove_if_finished(now, id);
         }
     }
 
-    /// Removes a request that has been answered and has no attempt in flight.
-    pub fn remove_if_finished(&mut self, id: RequestId) {
+    /// Removes a request that has been answered and has no attempt in flight. Remembers its id if it may have run and
+    /// must not run again.
+    pub fn remove_if_finished(&mut self, now: Micros, id: RequestId) {
         let is_finished = |request: &PendingRequest| request.answer.is_none() && request.in_flight.is_none();
         if self.get(id).is_some_and(is_finished) {
             if let Some(request) = self.requests.remove(&id) {
                 self.client_request_ids.remove(&request.client_request_id);
+                let may_have_run = request.first_run_sent_at.is_some();
+                if let Some(recent) = request.guarded_id(now).filter(|_| may_have_run) {
+                    self.recent_ids.insert(now, recent);
+                }
             }
         }
     }
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Process lifecycle: startup, reload, hand-over to a successor process, and graceful shutdown.
 
 pub mod error;
+pub mod id_exchange;
 pub mod reload;
 pub mod resources;
 pub mod services;
--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -4,6 +4,7 @@
 use crate::config::document::{Config, ConfigError};
 use crate::driver::decision_driver::DecisionDriver;
 use crate::lifecycle::error::RunError;
+use crate::lifecycle::id_exchange;
 use crate::lifecycle::takeover::{self, ControlConnection, Predecessor};
 use crate::network::system_error::is_transient;
 use std::future::Future;
@@ -97,6 +98,7 @@
     driver: &Rc<DecisionDriver>,
     address: SocketAddr,
 ) -> Result<ClientListener, RunError> {
+    id_exchange::join_predecessor(driver, address).await;
     let predecessor = match takeover::control_socket_path(address) {
         Some(path) => takeover::take_over(&path).await,
         None => None,
--- a/crates/gateway/src/lifecycle/takeover.rs
+++ b/crates/gateway/src/lifecycle/takeover.rs
@@ -47,8 +47,14 @@
 /// Returns the path of the control socket of the gateway that listens at an address, or `None` if `$TMPDIR`
 /// is unset or empty.
 pub fn control_socket_path(listen: SocketAddr) -> Option<PathBuf> {
+    socket_path("takeover", listen)
+}
+
+/// Returns the path of a socket between the processes of the gateway that listens at an address, or `None` if
+/// `$TMPDIR` is unset or empty.
+pub fn socket_path(purpose: &str, listen: SocketAddr) -> Option<PathBuf> {
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
-    Some(PathBuf::from(folder).join(format!("takeover-{listen}")))
+    Some(PathBuf::from(folder).join(format!("{purpose}-{listen}")))
 }
 
 /// Takes over from the serving process. Returns `None` if no process serves, as after a kill, or if the
@@ -85,7 +91,7 @@
 /// cannot take over and can only bind a separate listener at the same address.
 pub fn listen_for_successor(listen: SocketAddr) -> Option<UnixListener> {
     let path = control_socket_path(listen)?;
-    match bind_control_socket(&path) {
+    match bind_socket(&path) {
         Ok(control_socket) => Some(control_socket),
         Err(error) => {
             let socket = path.display();
@@ -95,8 +101,8 @@
     }
 }
 
-/// Binds the control socket, replacing that of an earlier process, which has ended or handed over.
-fn bind_control_socket(path: &Path) -> io::Result<UnixListener> {
+/// Binds a socket between processes, replacing that of an earlier process, which has ended or handed over.
+pub fn bind_socket(path: &Path) -> io::Result<UnixListener> {
     match std::fs::remove_file(path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
         _ => UnixListener::bind(path),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -18,6 +18,7 @@
 use crate::config::document::Config;
 use crate::driver::decision_driver::DecisionDriver;
 use crate::lifecycle::error::RunError;
+use crate::lifecycle::id_exchange;
 use crate::lifecycle::reload::ConfigReloader;
 use crate::lifecycle::resources::ResourceBudget;
 use crate::lifecycle::services::{self, Services};
@@ -111,6 +112,7 @@
         _ = &mut signals.stop => return Ok(()),
     };
     let address = listener.socket.local_addr().map_err(RunError::LocalAddress)?;
+    id_exchange::listen_for_successor(&driver, address);
     let control_socket = takeover::listen_for_successor(address);
     spawn_local(ConfigReloader { path, discovery_address, counter }.run(signals.reload));
     let clients = start_client_server(config, &resources, &driver);
--- a/crates/gateway/tests/loopback/client_disconnects.rs
+++ b/crates/gateway/tests/loopback/client_disconnects.rs
@@ -314,3 +314,44 @@
         assert!(!is_whole, "{framing}: the body came whole to a server after its client had closed");
     }
 }
+
+/// The server answers only after the client has left, and the client comes again with the id of its request.
+#[test]
+fn id_that_may_have_run_is_not_forwarded_again_when_its_client_returns() {
+    let (gate, waiter) = Gate::new();
+    let server = Server::start(move |_| {
+        waiter.wait();
+        Reply::ok("done")
+    });
+    let gateway = GatewayProcess::in_front_of(&server);
+    for request in [non_idempotent_request("x"), keyed_request("x")] {
+        let mut leaving = gateway.connect();
+        leaving.write(&request);
+        server.next_request();
+        drop(leaving);
+        gateway.wait_until_input_read();
+        assert_eq!(gateway.connect().call(&request).status(), 409, "the attempt is in flight");
+        gate.release_one();
+        let (other, mut waiting) = (non_idempotent_request("x"), gateway.connect());
+        waiting.write(&other);
+        server.next_request_on_any_connection();
+        gate.release_one();
+        assert_eq!(waiting.expect_response().status(), 200);
+        assert_eq!(gateway.connect().call(&request).status(), 409, "the attempt has ended");
+        assert_eq!(unread_request_lines(&server), Vec::<String>::new());
+    }
+}
+
+/// A request that a server has proved not to have run may come again.
+#[test]
+fn id_that_has_not_run_is_accepted_again() {
+    let server = Server::start(|number| match number {
+        0 => Reply::empty("503 Full\r\nX-Rejected: 1"),
+        _ => Reply::ok("done"),
+    });
+    let deployment = Deployment::with_server(&server).set("/settings/limits/attemptsCap", 1);
+    let gateway = deployment.start();
+    let request = non_idempotent_request("x");
+    assert_eq!(gateway.connect().call(&request).status(), 429);
+    assert_eq!(gateway.connect().call(&request).status(), 200);
+}
--- a/crates/gateway/tests/loopback/takeover.rs
+++ b/crates/gateway/tests/loopback/takeover.rs
@@ -225,3 +225,35 @@
     assert!(child.wait().unwrap().success());
     assert!(!log.contains("accepting clients"), "{log}");
 }
+
+/// A client leaves one of the two processes and comes again to the other with the id of its request.
+#[test]
+fn id_that_one_process_has_forwarded_is_not_forwarded_by_the_other() {
+    let server = Server::unresponsive();
+    let folder = TemporaryFolder::create();
+    let Predecessor { process: old, successor } =
+        Predecessor::start(Deployment::with_server(&server), &folder);
+    let forward_and_leave = |mut client: Client| {
+        let request = non_idempotent_request("x");
+        client.write(&request);
+        server.next_request_on_any_connection();
+        drop(client);
+        request
+    };
+    let before = forward_and_leave(old.connect());
+    let (leaving, mut staying) = (old.connect(), old.connect());
+    old.wait_until_input_read();
+    let new = successor.start();
+    let during = forward_and_leave(leaving);
+    assert_eq!(new.connect().call(&before).status(), 409, "forwarded before the hand-over");
+    assert_eq!(new.connect().call(&during).status(), 409, "forwarded during the hand-over");
+    let at_successor = forward_and_leave(new.connect());
+    assert_eq!(staying.call(&at_successor).status(), 409, "forwarded by the successor");
+    assert!(server.unread_requests().is_empty(), "an id was forwarded twice");
+    // The exchange goes on with the next successor.
+    old.terminate();
+    drop(staying);
+    assert!(old.wait().success());
+    let third = successor.start();
+    assert_eq!(third.connect().call(&during).status(), 409, "forwarded by the first process");
+}
