Count and log why requests ended without the whole answer of a server

Missed in the incident: nothing told which requests were refused, closed or cut off, and what a process may hold; the one line about a body that no server took had no id.

--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -16,6 +16,7 @@
 use crate::driver::request::{Answer, SubmittedRequest};
 use crate::network::headers::{self, InvalidHeader};
 use crate::operations::request_counts::RequestCounterGuard;
+use crate::operations::request_events::RequestEvent;
 use crate::servers::attempt::OutgoingRequest;
 use grebehook_core::RequestId;
 use hyper::body::{Body, Incoming};
@@ -92,17 +93,22 @@
         }
         // Only hyper determines where a chunked body ends in the bytes of the connection.
         let is_chunked = request.body().size_hint().exact().is_none();
+        let request_id: Box<str> =
+            headers::single_text(request.headers(), headers::REQUEST_ID).unwrap_or("").into();
         match self.answer(client, request).await {
             Ok(AnsweredRequest { answer, counter, body }) => {
                 // The rest of a body that is no longer needed is discarded rather than parsed as a request.
                 let must_discard_input = !body.is_read_to_end() || !client.stream.can_read_next_request();
                 client.set_must_discard_input(must_discard_input);
                 HandledRequest {
-                    response: answer_response(answer, counter),
+                    response: answer_response(answer, counter, request_id),
                     must_close: is_chunked || must_discard_input,
                 }
             }
             Err(error) => {
+                if let Some(event) = event_of(&error) {
+                    self.driver.record_event(event, request_id.as_bytes());
+                }
                 // The rest of the body is not read, so no further request can be located after it.
                 let requires_close =
                     matches!(error, RequestError::AmbiguousBodyLength | RequestError::ClientDisconnected);
@@ -186,6 +192,20 @@
     }
 }
 
+/// Returns the event that an error is counted as; `None` for a request that is no proper one.
+fn event_of(error: &RequestError) -> Option<RequestEvent> {
+    match error {
+        RequestError::NoMemoryForBody => Some(RequestEvent::NoMemoryForBody),
+        RequestError::DuplicateId => Some(RequestEvent::RepeatedId),
+        RequestError::BodyIncomplete => Some(RequestEvent::BodyIncomplete),
+        RequestError::ClientDisconnected => Some(RequestEvent::ClientGone),
+        RequestError::Header(_)
+        | RequestError::WrongMethod
+        | RequestError::BodyTooLarge
+        | RequestError::AmbiguousBodyLength => None,
+    }
+}
+
 /// Checks that only one header defines the length of the body. If both are present, hyper drops one of them,
 /// so the check relies on the stream, which scans the raw bytes.
 fn check_body_length(stream: &ClientStream, headers: &HeaderMap) -> Result<(), RequestError> {
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -15,6 +15,7 @@
 use crate::driver::request_table::RequestTable;
 use crate::driver::timers::{Timer, TimerQueue};
 use crate::operations::request_counts::RequestCounters;
+use crate::operations::request_events::RequestEvent;
 use crate::servers::exchange::Upstream;
 use crate::servers::health_check::HealthCheckResult;
 use grebehook_core::{
@@ -166,6 +167,11 @@
         self.transports.upstream.pool.close_idle();
     }
 
+    /// Records an event at a request that has not been submitted.
+    pub fn record_event(&self, event: RequestEvent, client_request_id: &[u8]) {
+        self.request_counters.events.record(event, client_request_id);
+    }
+
     /// Returns the metrics as text for operators.
     pub fn metrics_text(&self) -> String {
         let endpoints = self.state.borrow().decision_core.endpoint_counts(self.clock.now());
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -4,6 +4,7 @@
 use crate::driver::request::{Answer, ClientInput, RequestHead, SubmittedRequest};
 use crate::driver::request_table::{InsertedRequest, NewRequest};
 use crate::driver::timers::Timer;
+use crate::operations::request_events::RequestEvent;
 use crate::servers::attempt::OutgoingRequest;
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId};
 use hyper::header::HeaderValue;
@@ -141,7 +142,7 @@
     fn end_upload(&self, state: &mut DriverState, id: RequestId, is_held_back: bool) {
         let Some(request) = state.requests.get(id) else { return };
         if is_held_back {
-            self.log.log_stalled_upload();
+            self.record_event(RequestEvent::UploadGivenUp, request.client_request_id());
         }
         let answer = request.answer_without_response();
         state.requests.answer(self.clock.now(), id, answer);
--- a/crates/gateway/src/driver/decision_log.rs
+++ b/crates/gateway/src/driver/decision_log.rs
@@ -10,8 +10,6 @@
     panics: RepeatLimiter,
     /// Limits lines about requests that the decision core left unanswered.
     unanswered: RepeatLimiter,
-    /// Limits lines about requests whose body was not forwarded completely in time.
-    stalled_uploads: RepeatLimiter,
     /// Limits lines that the decision core requested.
     messages: RepeatLimiter,
 }
@@ -31,13 +29,6 @@
         }
     }
 
-    /// Logs that a request was answered before a server had taken all of its body.
-    pub fn log_stalled_upload(&self) {
-        if let Some(suppressed) = self.stalled_uploads.admit(Instant::now()) {
-            warn!(suppressed, "a request's body was not taken by a server in time; answering without it");
-        }
-    }
-
     /// Logs a line that the decision core requested.
     pub fn log_core_message(&self, text: &str) {
         if let Some(suppressed) = self.messages.admit(Instant::now()) {
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -188,6 +188,11 @@
         Some(attempt.attempt)
     }
 
+    /// Returns the id that the client assigned to the request.
+    pub fn client_request_id(&self) -> &[u8] {
+        self.client_request_id.as_bytes()
+    }
+
     /// Returns the id that must not be accepted again from now on; `None` if the request may run more than once.
     pub fn guarded_id(&self, now: Micros) -> Option<RecentId> {
         let forgotten_at = now.saturating_add(self.id_guard_time?);
--- a/crates/gateway/src/lifecycle/resources.rs
+++ b/crates/gateway/src/lifecycle/resources.rs
@@ -2,6 +2,7 @@
 
 use crate::config::document::Config;
 use crate::operations;
+use tracing::info;
 
 /// Descriptors reserved for everything but connections of clients and servers: standard streams, event
 /// queues, discovery, the counter, gossip and operators.
@@ -64,4 +65,16 @@
             customers: (share(CUSTOMER_PERCENT) / CUSTOMER_BYTES).min(MAX_CUSTOMERS),
         }
     }
+
+    /// Logs the limits.
+    pub fn log(&self) {
+        info!(
+            client_connections = self.client_connections,
+            server_connections = self.server_connections,
+            request_body_bytes = self.request_bytes,
+            response_body_bytes = self.response_bytes,
+            customers = self.customers,
+            "limits of this process"
+        );
+    }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -117,6 +117,7 @@
     spawn_local(ConfigReloader { path, discovery_address, counter }.run(signals.reload));
     let clients = start_client_server(config, &resources, &driver);
     info!(gateway = %name, %address, "accepting clients");
+    resources.log();
     if let Some(address) = operations_listen {
         serve_operators(&name, address, &clients, &driver).await?;
     }
--- a/crates/gateway/src/operations/mod.rs
+++ b/crates/gateway/src/operations/mod.rs
@@ -1,4 +1,5 @@
 //! Health and metrics of a running gateway, for operators.
 
 pub mod request_counts;
+pub mod request_events;
 pub mod server;
--- a/crates/gateway/src/operations/request_counts.rs
+++ b/crates/gateway/src/operations/request_counts.rs
@@ -1,5 +1,6 @@
 //! Metrics of requests and attempts since the start of the process.
 
+use crate::operations::request_events::{RequestEvent, RequestEvents};
 use grebehook_core::EndpointCounts;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
@@ -27,13 +28,21 @@
     active: Cell<u64>,
     /// Number of attempts whose request was written to a server completely.
     pub attempts: Rc<Cell<u64>>,
+    /// Events by which requests ended without the whole answer of a server.
+    pub events: RequestEvents,
 }
 
 impl RequestCounters {
     /// Creates counters for the classes with the given names, all at zero.
     pub fn new(classes: Vec<String>) -> Rc<RequestCounters> {
         let ended = RefCell::new(vec![Default::default(); classes.len()]);
-        Rc::new(RequestCounters { classes, ended, active: Cell::new(0), attempts: Rc::default() })
+        Rc::new(RequestCounters {
+            classes,
+            ended,
+            active: Cell::new(0),
+            attempts: Rc::default(),
+            events: RequestEvents::default(),
+        })
     }
 
     /// Counts an accepted request of a class as active until the returned guard is dropped.
@@ -55,7 +64,7 @@
         let _ = writeln!(text, "gateway_active {}", self.active.get());
         let _ = writeln!(text, "gateway_pool_size {}", endpoints.listed);
         let _ = writeln!(text, "gateway_pool_ejected {}", endpoints.ejected);
-        text
+        text + &self.events.metrics_text()
     }
 
     /// Counts the end of a request of a class.
@@ -78,6 +87,11 @@
 }
 
 impl RequestCounterGuard {
+    /// Records an event at the request.
+    pub fn record_event(&self, event: RequestEvent, id: &[u8]) {
+        self.counters.events.record(event, id);
+    }
+
     /// Sets the outcome that is counted when the guard is dropped.
     pub fn set_outcome(&self, outcome: RequestOutcome) {
         self.outcome.set(outcome);
