Remember the id of a request whose answer was passed on

DecisionDriver::handle_attempt_end answers the client, which removes the finished request, before the attempt's end is recorded; the request did not count as one that may have run, and its id was forgotten. Change: the run is recorded before the answer.

--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -73,6 +73,7 @@
         if outcome.status == AttemptStatus::NotSent {
             request.answer_if_client_disconnected();
         }
+        request.record_run(&ended, outcome.status);
         if let Some(served) = outcome.response.take() {
             state.requests.answer(self.clock.now(), id, Answer::Served(served));
         }
--- a/crates/gateway/src/driver/request_table.rs
+++ b/crates/gateway/src/driver/request_table.rs
@@ -199,12 +199,17 @@
         Some(RecentId { id: self.client_request_id.as_bytes().into(), forgotten_at })
     }
 
-    /// Records the end of an attempt. Returns true, once per request, if the decision core has to be notified
-    /// that the body cannot be sent again.
-    pub fn record_attempt_end(&mut self, ended: &InFlightAttempt, status: AttemptStatus) -> bool {
+    /// Records that an attempt that has ended with this status may have run, unless the status rules that out.
+    pub fn record_run(&mut self, ended: &InFlightAttempt, status: AttemptStatus) {
         if status.may_have_run() {
             self.first_run_sent_at.get_or_insert(ended.sent_at);
         }
+    }
+
+    /// Records the end of an attempt. Returns true, once per request, if the decision core has to be notified
+    /// that the body cannot be sent again.
+    pub fn record_attempt_end(&mut self, ended: &InFlightAttempt, status: AttemptStatus) -> bool {
+        self.record_run(ended, status);
         let unreported = self.outgoing.body.is_consumed() && !self.body_consumption_reported;
         self.body_consumption_reported |= unreported;
         unreported
--- a/crates/gateway/tests/loopback/client_disconnects.rs
+++ b/crates/gateway/tests/loopback/client_disconnects.rs
@@ -342,6 +342,17 @@
     }
 }
 
+/// The client has left after its answer was written, and has not read it.
+#[test]
+fn id_that_was_served_is_not_forwarded_again() {
+    let server = Server::healthy();
+    let gateway = GatewayProcess::in_front_of(&server);
+    let request = non_idempotent_request("x");
+    assert_eq!(gateway.connect().call(&request).status(), 200);
+    assert_eq!(gateway.connect().call(&request).status(), 409);
+    assert_eq!(server.unread_requests().len(), 1);
+}
+
 /// A request that a server has proved not to have run may come again.
 #[test]
 fn id_that_has_not_run_is_accepted_again() {
