Let crowds, the least memory and ids that come again take part in the soak

Change: three in ten runs have 32 MB and 150 further clients that write slowly, stop, read nothing or send far more than a request; the peak of memory is checked. Half of the clients that leave come again with the id of their request while the process is not told to stop. The counter's connections get buffers of 8 KiB like servers' (408 KiB by default).

--- a/crates/gateway/src/control/counter.rs
+++ b/crates/gateway/src/control/counter.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the shared counter.
 
+use crate::bodies::size::SERVER_BUFFER_BYTES;
 use crate::servers::connection::{OpenConnectionGuard, ServerConnection, ServerConnectionIo};
 use bytes::Bytes;
 use grebehook_core::{CounterId, CounterResult, Event, Micros};
@@ -114,7 +115,8 @@
         stream.set_nodelay(true).ok()?;
         let transport = ServerConnection::new(stream, guard);
         let io = TokioIo::new(ServerConnectionIo(transport.clone()));
-        let (sender, connection) = http1::handshake(io).await.ok()?;
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(SERVER_BUFFER_BYTES).handshake(io).await.ok()?;
         tokio::task::spawn_local(connection);
         Some(CounterConnection { sender, transport, address, idle_since: Instant::now() })
     }
--- a/crates/gateway/tests/loopback/rig/crowd.rs
+++ b/crates/gateway/tests/loopback/rig/crowd.rs
@@ -3,6 +3,7 @@
 use super::EVENT_TIMEOUT;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,9 @@
 impl CrowdClient {
     /// Writes as much as the system takes. Returns whether anything was written.
     fn write(&mut self) -> bool {
+        if self.unsent.is_empty() {
+            return false;
+        }
         match self.stream.write(&self.unsent) {
             Ok(written) => {
                 self.unsent.drain(..written);
@@ -69,6 +73,32 @@
         Crowd { clients: (0..count).map(|_| connect()).collect() }
     }
 
+    /// Connects at most `count` clients, as many as the gateway takes.
+    pub fn connect_available(address: SocketAddr, count: usize, mut input: impl FnMut() -> Vec<u8>) -> Crowd {
+        let mut connect = || {
+            let stream = TcpStream::connect(address).ok()?;
+            stream.set_nonblocking(true).ok()?;
+            Some(CrowdClient { stream, unsent: input() })
+        };
+        Crowd { clients: (0..count).map_while(|_| connect()).collect() }
+    }
+
+    /// Returns whether the crowd has no clients.
+    pub fn is_empty(&self) -> bool {
+        self.clients.is_empty()
+    }
+
+    /// Writes the input of all clients for some time, or until `stop` is set. The clients read nothing.
+    pub fn write_for(&mut self, time: Duration, stop: &AtomicBool) {
+        let start = Instant::now();
+        while start.elapsed() < time && !stop.load(Ordering::SeqCst) {
+            for client in &mut self.clients {
+                client.write();
+            }
+            thread::sleep(ROUND_INTERVAL);
+        }
+    }
+
     /// Writes the input of all clients until nothing moves any more, at most for [`MAX_TIME`]. The clients read
     /// nothing.
     pub fn write_until_at_rest(&mut self) {
--- a/crates/gateway/tests/loopback/soak/checks.rs
+++ b/crates/gateway/tests/loopback/soak/checks.rs
@@ -120,6 +120,10 @@
 /// the client has disconnected.
 fn attempt_violations(request: &ClientRequest, attempt: &ReceivedAttempt, run: &Run<'_>) -> Vec<String> {
     let mut violations = Vec::new();
+    if request.repeated {
+        // The attempt may belong to either of the two requests.
+        return violations;
+    }
     let times_out_at = request.written_at + request.timeout;
     let left = times_out_at.saturating_duration_since(attempt.complete_at);
     if attempt.forwarded_timeout > left + forwarded_timeout_grace(request, attempt, run) {
--- a/crates/gateway/tests/loopback/soak/client.rs
+++ b/crates/gateway/tests/loopback/soak/client.rs
@@ -17,6 +17,8 @@
 const SPLIT_PERCENT: u8 = 10;
 /// Probability that a client disconnects before it reads the response, in percent.
 const DISCONNECT_PERCENT: u8 = 8;
+/// Probability that a client that disconnected comes again with the same id, in percent.
+const REPEAT_PERCENT: u8 = 50;
 /// Time beyond its timeout after which a client treats a response as missing.
 const READ_GRACE: Duration = Duration::from_secs(5);
 
@@ -85,9 +87,19 @@
         } else {
             self.read_response(connection, request.timeout)
         };
+        let has_left = matches!(outcome, RequestOutcome::Disconnected(_));
+        let repeated = has_left && self.rng.u8(..100) < REPEAT_PERCENT && self.repeat(&request);
         let GeneratedRequest { id, class, timeout, .. } = request;
-        let sent =
-            ClientRequest { id, class, timeout, connected_at, written_at, first_on_connection, outcome };
+        let sent = ClientRequest {
+            id,
+            class,
+            timeout,
+            connected_at,
+            written_at,
+            first_on_connection,
+            repeated,
+            outcome,
+        };
         self.record.requests.lock().unwrap().push(sent);
         Some(())
     }
@@ -126,6 +138,20 @@
         RequestOutcome::Disconnected(Instant::now())
     }
 
+    /// Sends a request that was left once more with its id, over a new connection. Returns whether it did: a process that is
+    /// about to be killed takes what it knows of the request with it.
+    fn repeat(&mut self, request: &GeneratedRequest) -> bool {
+        if self.record.is_stopping(Instant::now()) {
+            return false;
+        }
+        let Some(mut connection) = Connection::open(self.address) else { return false };
+        if connection.stream.get_mut().write_all(request.text.as_bytes()).is_ok() {
+            connection.stream.get_ref().set_read_timeout(Some(request.timeout)).unwrap();
+            let _ = read_message(&mut connection.stream);
+        }
+        true
+    }
+
     /// Reads the response, and keeps the connection if the gateway leaves it open.
     fn read_response(&mut self, mut connection: Connection, timeout: Duration) -> RequestOutcome {
         connection.stream.get_ref().set_read_timeout(Some(timeout + READ_GRACE)).unwrap();
--- a/crates/gateway/tests/loopback/soak/mod.rs
+++ b/crates/gateway/tests/loopback/soak/mod.rs
@@ -1,12 +1,14 @@
 //! A soak test: two gateway processes, one after the other, serve misbehaving clients and forward requests to
 //! misbehaving servers under failing system calls, clock steps, pauses, drains and series of signals. Clients
 //! reuse open connections until SIGKILL, which is sent as early as the operators' requirements allow. The
-//! observations are checked against these requirements, not against the gateway's own decisions.
+//! observations are checked against these requirements, not against the gateway's own decisions. Some runs have the least
+//! memory and a crowd of clients that fill it; in all of them clients come again with ids of requests that they left.
 //!
 //! `SOAK_SEEDS=1-50` runs those seeds; without the variable a few default seeds are run.
 
 mod checks;
 mod client;
+mod crowd;
 mod plan;
 mod record;
 mod server;
@@ -54,6 +56,8 @@
     deployment: Deployment,
     /// Set when the clients are to stop.
     stop: Arc<AtomicBool>,
+    /// Violations of the memory limit.
+    memory_violations: Vec<String>,
 }
 
 impl SoakRun {
@@ -68,7 +72,15 @@
         };
         let endpoints: Vec<Endpoint> = (0..SERVER_COUNT).map(&mut endpoint).collect();
         let deployment = plan.configure(Deployment::new(endpoints.clone()));
-        SoakRun { rng, plan, record, endpoints, deployment, stop: Arc::default() }
+        SoakRun {
+            rng,
+            plan,
+            record,
+            endpoints,
+            deployment,
+            stop: Arc::default(),
+            memory_violations: Vec::new(),
+        }
     }
 
     /// Runs one process after another, and returns the violations of the requirements.
@@ -80,11 +92,13 @@
             let _idle: Vec<TcpStream> = (0..self.plan.idle_connections)
                 .map_while(|_| TcpStream::connect(gateway.address).ok())
                 .collect();
-            while clients.len() < CLIENT_COUNT {
-                clients.push(self.start_client(gateway.address));
+            if clients.is_empty() {
+                clients.extend((0..CLIENT_COUNT).map(|_| self.start_client(gateway.address)));
+                clients.extend(self.start_crowd(seed, gateway.address));
             }
             let successor = self.deployment.clone().listen(gateway.address);
             self.inject_disruptions(&gateway);
+            self.check_memory(&gateway);
             self.stop(gateway);
             self.deployment = successor;
         }
@@ -106,6 +120,21 @@
         thread::spawn(move || client.run(&stop))
     }
 
+    /// Starts the crowd of the run, if its plan has one.
+    fn start_crowd(&self, seed: u64, address: SocketAddr) -> Option<JoinHandle<()>> {
+        let (count, timeout) = (self.plan.crowd_size, self.plan.deadline);
+        let stop = self.stop.clone();
+        let run = move || crowd::run(address, count, timeout, Rng::with_seed(seed), &stop);
+        (count > 0).then(|| thread::spawn(run))
+    }
+
+    /// Records a violation if a process has had more memory than its settings allow.
+    fn check_memory(&mut self, gateway: &GatewayProcess) {
+        let peak = gateway.peak_resident_kib() * 1_024;
+        let exceeded = self.plan.memory_limit().filter(|limit| peak > *limit);
+        self.memory_violations.extend(exceeded.map(|limit| format!("{peak} of {limit} bytes of memory")));
+    }
+
     /// Injects disruptions at random intervals while a process serves.
     fn inject_disruptions(&mut self, gateway: &GatewayProcess) {
         let start = Instant::now();
@@ -168,12 +197,14 @@
 
     /// Prints a summary of the run, and returns the violations of the requirements.
     fn report(&self, seed: u64) -> Vec<String> {
-        let violations = violations(&self.record, &self.plan);
+        let mut violations = violations(&self.record, &self.plan);
+        violations.extend(self.memory_violations.iter().cloned());
         let requests = self.record.requests.lock().unwrap().len();
         let attempts = self.record.attempts.lock().unwrap().len();
         let faults = &self.plan.faults;
         eprintln!(
-            "seed {seed} ({faults}): {requests} requests, {attempts} attempts received, {violations:?}"
+            "seed {seed} ({faults}, crowd of {}): {requests} requests, {attempts} attempts received, {violations:?}",
+            self.plan.crowd_size
         );
         violations
     }
--- a/crates/gateway/tests/loopback/soak/plan.rs
+++ b/crates/gateway/tests/loopback/soak/plan.rs
@@ -40,6 +40,14 @@
 /// Bit set in the seed of the scheduling delays, which separates their random choices from all others of
 /// a run.
 const PREEMPTION_SEED_BIT: u64 = 1 << 32;
+/// Bit set in the seed of the crowd, which separates its random choices from all others of a run.
+const CROWD_SEED_BIT: u64 = 1 << 33;
+/// Number of clients of a crowd.
+const CROWD_SIZE: usize = 150;
+/// The least memory that a deployment gives a gateway, in megabytes. Runs with a crowd have it.
+const LEAST_MEMORY_MB: u64 = 32;
+/// Bytes of a megabyte of the configuration.
+const BYTES_PER_MB: u64 = 1_000_000;
 /// Environment variable with faults that all seeds run under in addition to those of their plans.
 const COMMON_FAULTS_VARIABLE: &str = "SOAK_FAULTS";
 
@@ -56,6 +64,8 @@
     pub descriptor_limit: u32,
     /// Number of idle connections in addition to those of the clients.
     pub idle_connections: usize,
+    /// Number of clients that misbehave in addition to those whose requests are checked.
+    pub crowd_size: usize,
 }
 
 impl Plan {
@@ -71,6 +81,7 @@
             deadline: Duration::from_millis(rng.choice([100, 300, 800, 1_500]).unwrap()),
             descriptor_limit: if descriptors_exhausted { 256 } else { 1_024 },
             idle_connections: if descriptors_exhausted { 300 } else { 0 },
+            crowd_size: random_crowd_size(seed),
         }
     }
 
@@ -85,6 +96,11 @@
         Duration::from_millis(milliseconds.map_or(0, |text| text.parse().expect("preempt_ms is a number")))
     }
 
+    /// Returns the memory that the gateway may have, in bytes, where the plan limits it.
+    pub fn memory_limit(&self) -> Option<u64> {
+        (self.crowd_size > 0).then_some(LEAST_MEMORY_MB * BYTES_PER_MB)
+    }
+
     /// Returns whether idle connections exhaust the descriptors.
     pub fn exhausts_descriptors(&self) -> bool {
         self.idle_connections > 0
@@ -97,6 +113,10 @@
             .descriptor_limit(self.descriptor_limit)
             .faults(&*self.faults)
             .set("/settings/limits/mayProbe", false);
+        let deployment = match self.memory_limit() {
+            Some(limit) => deployment.set("/limits/memory_mb", limit / BYTES_PER_MB),
+            None => deployment,
+        };
         (0..CLASSES.len()).fold(deployment, |deployment, class| {
             let setting = |name: &str| format!("/settings/classes/{class}/{name}");
             deployment
@@ -115,6 +135,16 @@
     format!("{call_delays} {listener_close_delay} preempt_seed={seed}")
 }
 
+/// Chooses at random whether a run has a crowd.
+fn random_crowd_size(seed: u64) -> usize {
+    let has_crowd = Rng::with_seed(CROWD_SEED_BIT | seed).u8(..100) < FAULT_PERCENT;
+    if has_crowd {
+        CROWD_SIZE
+    } else {
+        0
+    }
+}
+
 /// Returns a duration in whole milliseconds.
 pub fn milliseconds(duration: Duration) -> u64 {
     duration.as_millis() as u64
--- a/crates/gateway/tests/loopback/soak/record.rs
+++ b/crates/gateway/tests/loopback/soak/record.rs
@@ -52,6 +52,8 @@
     pub written_at: Instant,
     /// Whether the request is the first on its connection.
     pub first_on_connection: bool,
+    /// Whether the client came again with the same id after it had disconnected.
+    pub repeated: bool,
     /// Response, or the way in which the connection ended without one.
     pub outcome: RequestOutcome,
 }
@@ -143,6 +145,11 @@
         self.processes.lock().unwrap().iter().rfind(|process| process.started_at <= at).copied()
     }
 
+    /// Returns whether the process of that time has been told to stop.
+    pub fn is_stopping(&self, at: Instant) -> bool {
+        self.process_at(at).is_none_or(|process| process.signaled_at.is_some())
+    }
+
     /// Returns the time since the signal to stop the process of that time, or `None` if it had not been sent.
     pub fn time_since_signal(&self, at: Instant) -> Option<Duration> {
         self.process_at(at)?.signaled_at.and_then(|signaled_at| at.checked_duration_since(signaled_at))
