Remember an id that may have run for longer than its client waits

An id was remembered for the deadline of its class, from the end of its request; its client came again within that time, but the process was paused, and the request was read 80 ms later, when the id was forgotten. Change: 10 s more.

--- a/crates/gateway/src/clients/request_head.rs
+++ b/crates/gateway/src/clients/request_head.rs
@@ -12,6 +12,10 @@
 /// Maximum length of a request ID, in bytes.
 const MAX_REQUEST_ID_LENGTH: usize = 64;
 
+/// Time beyond the deadline of its class for which the id of a request that may have run is remembered, in microseconds:
+/// a client may come again after its time, and its request may wait before it is read.
+const ID_GUARD_GRACE: Micros = 10_000_000;
+
 /// Parses request heads according to the settings and the configured names of classes and plans.
 pub struct RequestHeadParser {
     /// Settings of the decision core.
@@ -53,7 +57,7 @@
             id_guard_time: match class_settings.idempotency {
                 Idempotency::Idempotent => None,
                 Idempotency::IdempotencyKey { .. } | Idempotency::NonIdempotent => {
-                    Some(class_settings.deadline)
+                    Some(class_settings.deadline + ID_GUARD_GRACE)
                 }
             },
             is_retry: headers::is_retry(headers),
--- a/crates/gateway/tests/loopback/client_disconnects.rs
+++ b/crates/gateway/tests/loopback/client_disconnects.rs
@@ -29,6 +29,8 @@
 /// Number of requests of a connected client, sent after the other clients have disconnected.
 const LATER_REQUESTS: usize = 5;
 
+/// A short deadline of all classes, in milliseconds.
+const SHORT_DEADLINE_MS: u64 = 100;
 /// Number of clients that close behind many requests.
 const CLOSING_CLIENTS: usize = 8;
 /// Number of requests that a client sends at once before it closes: more than the system's buffers hold at first.
@@ -353,6 +355,22 @@
     assert_eq!(server.unread_requests().len(), 1);
 }
 
+/// The client comes again after its time, as does one whose request waited before it was read.
+#[test]
+fn id_that_was_served_is_not_forwarded_again_after_its_time() {
+    let server = Server::healthy();
+    let deployment = Deployment::with_server(&server).all_deadlines_us(SHORT_DEADLINE_MS * 1_000);
+    let gateway = deployment.start();
+    let short = |request: String| with_client_timeout(&request, SHORT_DEADLINE_MS);
+    let request = short(non_idempotent_request("x"));
+    assert_eq!(gateway.connect().call(&request).status(), 200);
+    let served_at = Instant::now();
+    while served_at.elapsed() < 3 * Duration::from_millis(SHORT_DEADLINE_MS) {
+        gateway.connect().call(&short(idempotent_request()));
+    }
+    assert_eq!(gateway.connect().call(&request).status(), 409);
+}
+
 /// A request that a server has proved not to have run may come again.
 #[test]
 fn id_that_has_not_run_is_accepted_again() {
