Give the pending request and the body of an attempt modules of their own

request_table.rs and upload.rs had grown to 388 and 423 lines with two concerns each: the table and one request of it, the client's body and what one attempt sends of it. Moved without a change, but for visibility and names of two accessors.

--- a/crates/gateway/src/bodies/mod.rs
+++ b/crates/gateway/src/bodies/mod.rs
@@ -9,6 +9,7 @@
 pub mod memory;
 mod prefix_buffer;
 pub mod replay_buffer;
+pub mod request_body;
 pub mod size;
 pub mod stall;
 pub mod upload;
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -1,29 +1,19 @@
 //! The body of a client's request as it is sent to servers.
 
-use crate::bodies::block_buffer::{split_block, BlockBuffer};
+use crate::bodies::block_buffer::BlockBuffer;
 use crate::bodies::buffering::PartiallyReadBody;
 use crate::bodies::error::BodyError;
 use crate::bodies::memory::{BodyMemory, Reservation};
 use crate::bodies::replay_buffer::ReplayBuffer;
 use crate::bodies::stall::StallTimeoutBody;
-use crate::servers::connection::ServerConnection;
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::time::{sleep_until, Sleep};
 
 /// Maximum time without data from a client in the middle of its body. A client that stops there must get its answer
 /// within 3 s, as must one that stops in a short request.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time from the beginning of an attempt within which a server that rejects a request on its head does so. Until
-/// then, no part of the body is forwarded that could not be sent again.
-const REJECTION_GRACE: Duration = Duration::from_millis(20);
-
 /// The body of a client's request, which owns the part that the client is still sending. A body can be sent any
 /// number of times for as long as all that was forwarded of it is kept, afterwards only once.
 pub struct Upload {
@@ -54,7 +44,7 @@
 
 /// Number of an attempt among those that began to send the body.
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
-struct AttemptNumber(u32);
+pub struct AttemptNumber(u32);
 
 /// How much of a body has been read and forwarded.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -178,7 +168,7 @@
     }
 
     /// Begins an attempt. Earlier attempts can no longer read the remainder.
-    fn begin_attempt(&self) -> AttemptNumber {
+    pub fn begin_attempt(&self) -> AttemptNumber {
         self.stop_waiting();
         let AttemptNumber(previous) = self.newest_attempt.get();
         let attempt = AttemptNumber(previous + 1);
@@ -187,7 +177,7 @@
     }
 
     /// Ends an attempt, which no longer awaits the client's data.
-    fn end_attempt(&self, attempt: AttemptNumber) {
+    pub fn end_attempt(&self, attempt: AttemptNumber) {
         if attempt == self.newest_attempt.get() {
             self.stop_waiting();
         }
@@ -201,7 +191,7 @@
     }
 
     /// Returns the next part of the body from a position, as far as it is kept.
-    fn kept_part_from(&self, position: usize) -> Option<Bytes> {
+    pub fn kept_part_from(&self, position: usize) -> Option<Bytes> {
         if position < self.buffered.len() {
             return self.buffered.part_from(position);
         }
@@ -209,14 +199,14 @@
     }
 
     /// Returns whether the next data of the client can be kept, or nothing more has to be.
-    fn keeps_next_data(&self) -> bool {
+    pub fn keeps_next_data(&self) -> bool {
         let mut replay = self.replay.borrow_mut();
         self.state.get() != UploadState::Receiving || replay.as_mut().is_some_and(ReplayBuffer::has_room)
     }
 
     /// Returns whether an attempt that has sent `position` bytes has sent the last of a body whose length is
     /// known, after which hyper asks for no more.
-    fn is_forwarded_by(&self, attempt: AttemptNumber, position: usize) -> bool {
+    pub fn is_forwarded_by(&self, attempt: AttemptNumber, position: usize) -> bool {
         match self.state.get() {
             UploadState::Complete => self.length == Some(position as u64),
             UploadState::Forwarded(by) => by == attempt,
@@ -225,7 +215,7 @@
     }
 
     /// Polls for the next data after what is kept on behalf of an attempt; `None` marks the end of the body.
-    fn poll_remainder(
+    pub fn poll_remainder(
         &self,
         attempt: AttemptNumber,
         cx: &mut Context<'_>,
@@ -309,115 +299,10 @@
     }
 
     /// Calls the callback for the end of a streamed body, once.
-    fn notify_forwarded(&self) {
+    pub fn notify_forwarded(&self) {
         let on_forwarded = self.on_forwarded.borrow_mut().take();
         if let Some(on_forwarded) = on_forwarded {
             on_forwarded();
         }
     }
 }
-
-/// The body of one attempt, as hyper writes it to a server's connection. hyper may keep it for longer than the
-/// attempt lasts; from then on, it ends with an error.
-pub struct RequestBody {
-    /// The body that this attempt sends.
-    upload: Rc<Upload>,
-    /// The attempt that this body belongs to.
-    attempt: AttemptNumber,
-    /// Number of bytes of the body that the attempt has sent.
-    position: usize,
-    /// The part of the newest data from the client that has not been passed to hyper.
-    rest: Bytes,
-    /// Time at which the attempt began to use its connection.
-    began_at: Instant,
-    /// Expires [`REJECTION_GRACE`] after `began_at`; `None` until that is waited for.
-    rejection_timer: Option<Pin<Box<Sleep>>>,
-    /// The connection to the server, which is open for as long as the attempt lasts.
-    connection: Rc<ServerConnection>,
-}
-
-impl RequestBody {
-    /// Creates the body of an attempt over a connection.
-    pub fn new(upload: &Rc<Upload>, connection: Rc<ServerConnection>) -> RequestBody {
-        RequestBody {
-            upload: upload.clone(),
-            attempt: upload.begin_attempt(),
-            position: 0,
-            rest: Bytes::new(),
-            began_at: Instant::now(),
-            rejection_timer: None,
-            connection,
-        }
-    }
-
-    /// Polls for the next data of the body; `None` marks its end.
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        if self.connection.is_closed() {
-            return Poll::Ready(Some(Err(BodyError::AttemptEnded)));
-        }
-        let data = if self.rest.is_empty() {
-            match self.upload.kept_part_from(self.position) {
-                Some(part) => Some(Ok(part)),
-                None => {
-                    if !self.upload.keeps_next_data() {
-                        ready!(self.poll_rejection_grace(cx));
-                    }
-                    let data = ready!(self.upload.poll_remainder(self.attempt, cx));
-                    data.map(|data| data.map(|data| self.keep_rest(data)))
-                }
-            }
-        } else {
-            Some(Ok(split_block(&mut self.rest)))
-        };
-        if let Some(Ok(data)) = &data {
-            self.position += data.len();
-        }
-        let is_end = self.rest.is_empty() && self.upload.is_forwarded_by(self.attempt, self.position);
-        if data.is_none() || is_end {
-            self.connection.record_body_end();
-            self.upload.notify_forwarded();
-        }
-        Poll::Ready(data)
-    }
-
-    /// Returns the first block of data and keeps the rest.
-    fn keep_rest(&mut self, mut data: Bytes) -> Bytes {
-        let first = split_block(&mut data);
-        self.rest = data;
-        first
-    }
-
-    /// Waits until a server that rejects the request on its head has had the time to do so.
-    fn poll_rejection_grace(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let grace_end = self.began_at + REJECTION_GRACE;
-        let timer = self.rejection_timer.get_or_insert_with(|| Box::pin(sleep_until(grace_end.into())));
-        timer.as_mut().poll(cx)
-    }
-}
-
-impl Body for RequestBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let data = ready!(self.poll_data(cx));
-        Poll::Ready(data.map(|data| data.map(Frame::data)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.upload.length == Some(0)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.upload.length.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
-
-impl Drop for RequestBody {
-    fn drop(&mut self) {
-        self.upload.end_attempt(self.attempt);
-    }
-}
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -1,8 +1,8 @@
 //! Starts, completes and aborts the attempts of requests.
 
 use super::{DecisionDriver, DriverState};
+use crate::driver::pending_request::InFlightAttempt;
 use crate::driver::request::Answer;
-use crate::driver::request_table::InFlightAttempt;
 use crate::driver::timers::Timer;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptOutcome, OutgoingRequest};
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId, ServerId};
--- a/crates/gateway/src/driver/decision_driver/requests.rs
+++ b/crates/gateway/src/driver/decision_driver/requests.rs
@@ -1,8 +1,9 @@
 //! Handles clients' requests: their arrival, the end of their bodies, disconnecting clients, and deadlines.
 
 use super::{DecisionDriver, DriverState};
+use crate::driver::pending_request::NewRequest;
 use crate::driver::request::{Answer, ClientInput, RequestHead, SubmittedRequest};
-use crate::driver::request_table::{InsertedRequest, NewRequest};
+use crate::driver::request_table::InsertedRequest;
 use crate::driver::timers::Timer;
 use crate::operations::request_events::RequestEvent;
 use crate::servers::attempt::OutgoingRequest;
@@ -142,7 +143,7 @@
     fn end_upload(&self, state: &mut DriverState, id: RequestId, is_held_back: bool) {
         let Some(request) = state.requests.get(id) else { return };
         if is_held_back {
-            self.record_event(RequestEvent::UploadGivenUp, request.client_request_id());
+            self.record_event(RequestEvent::UploadGivenUp, request.client_request_id.as_bytes());
         }
         let answer = request.answer_without_response();
         state.requests.answer(self.clock.now(), id, answer);
--- a/crates/gateway/src/driver/mod.rs
+++ b/crates/gateway/src/driver/mod.rs
@@ -6,6 +6,7 @@
 pub mod decision_driver;
 pub mod decision_log;
 pub mod id_exchange;
+pub mod pending_request;
 pub mod recent_ids;
 pub mod request;
 pub mod request_table;
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -4,8 +4,8 @@
 use crate::bodies::download::{BufferedContent, Download, ReceivedBeginning, ResponseContent};
 use crate::bodies::late_answer::MAX_WRITE_PAUSE;
 use crate::bodies::memory::BodyMemory;
+use crate::bodies::request_body::RequestBody;
 use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
-use crate::bodies::upload::RequestBody;
 use crate::network::headers;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptOutcome, OutgoingRequest};
 use crate::servers::connection::{ServerConnection, WriteCondition};
--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of connections to the servers of the endpoint list.
 
+use crate::bodies::request_body::RequestBody;
 use crate::bodies::size::SERVER_BUFFER_BYTES;
-use crate::bodies::upload::RequestBody;
 use crate::control::endpoint_list::ListedEndpoint;
 use crate::servers::connection::{OpenConnectionGuard, ServerConnection, ServerConnectionIo};
 use crate::servers::dial::dial;
