Let customers in flight not keep a full table from evicting others

Found on reading the change again. A full table looks at 64 customers; those with a request in flight went back to the place that they had, so that 64 requests that take long kept all later searches from finding anything. Change: such a visit postpones the next one by 1 s.

--- a/crates/core/src/customer/table.rs
+++ b/crates/core/src/customer/table.rs
@@ -8,6 +8,9 @@
 /// Maximum number of customers that are visited to make room for a new one.
 const MAX_VISITS_PER_INSERTION: usize = 64;
 
+/// Time by which such a visit postpones the next one of a customer with something in flight.
+const BUSY_POSTPONEMENT: Micros = 1_000_000;
+
 /// The customers of a gateway, by identifier, with their eviction queue.
 pub(crate) struct CustomerTable {
     customers: BTreeMap<CustomerId, Box<Customer>>,
@@ -75,8 +78,11 @@
             self.visited += 1;
             let Some(customer) = self.customers.get(&id) else { continue };
             let idle_at = customer.idle_at();
-            later.push((idle_at.max(due), id));
-            if !customer.is_busy() {
+            if customer.is_busy() {
+                // Out of the way of the next searches, however long the request takes.
+                later.push((idle_at.max(due) + BUSY_POSTPONEMENT, id));
+            } else {
+                later.push((idle_at.max(due), id));
                 let earlier = first_idle.filter(|(first, _)| *first <= idle_at);
                 first_idle = earlier.or(Some((idle_at, id)));
             }
--- a/crates/core/tests/unit/customer_table.rs
+++ b/crates/core/tests/unit/customer_table.rs
@@ -154,3 +154,21 @@
     assert!(table.visited() <= 64, "{} customers were visited", table.visited());
     assert!(table.get(CustomerId(0)).is_some() && table.get(CustomerId(10_000)).is_some());
 }
+
+/// Guards against a table that grows because those that would be idle first have requests that take long.
+#[test]
+fn customers_in_flight_do_not_keep_a_full_table_from_evicting_others() {
+    const IN_FLIGHT: u64 = 300;
+    const MAX_CUSTOMERS: usize = 500;
+    let mut table = CustomerTable::default();
+    table.set_max_customers(MAX_CUSTOMERS);
+    for id in 0..IN_FLIGHT {
+        table.insert(CustomerId(id), Customer { in_flight: 1, ..customer(SECOND, 1) });
+    }
+    for id in IN_FLIGHT..10_000 {
+        table.insert(CustomerId(id), customer(SECOND + id, 1));
+    }
+    let kept = (0..10_000).filter(|id| table.get(CustomerId(*id)).is_some()).count();
+    assert!(kept <= MAX_CUSTOMERS + IN_FLIGHT as usize, "{kept} customers");
+    assert!((0..IN_FLIGHT).all(|id| table.get(CustomerId(id)).is_some()));
+}
