--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -100,8 +100,9 @@
         })
     }
 
-    /// Limits the number of customers that the gateway keeps a record of, besides those with a request in flight. Beyond
-    /// it, the customer that has not been used for longest is forgotten, and counts as new when it returns.
+    /// Limits the number of customers that the gateway keeps a record of, besides those with a request in
+    /// flight. Beyond it, the customer that would be idle first is forgotten, and counts as new when it
+    /// returns.
     pub fn limit_customers(&mut self, max_customers: usize) {
         self.customers.set_max_customers(max_customers);
     }
--- a/crates/gateway/src/bodies/block_buffer.rs
+++ b/crates/gateway/src/bodies/block_buffer.rs
@@ -24,7 +24,7 @@
         self.length == 0
     }
 
-    /// Appends data.
+    /// Appends a copy of the data, which fills the last block before it begins another.
     pub fn append(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
             let room = self.blocks.back().map_or(0, |last| BLOCK_BYTES - last.len());
--- a/crates/gateway/src/bodies/buffering.rs
+++ b/crates/gateway/src/bodies/buffering.rs
@@ -26,7 +26,7 @@
         PartiallyReadBody { buffered: BlockBuffer::default(), reservation: None, remainder: Some(body) }
     }
 
-    /// Returns an empty body.
+    /// Returns the body of a message that has none.
     pub fn empty() -> PartiallyReadBody {
         PartiallyReadBody { buffered: BlockBuffer::default(), reservation: None, remainder: None }
     }
--- a/crates/gateway/src/driver/arrival_history.rs
+++ b/crates/gateway/src/driver/arrival_history.rs
@@ -13,6 +13,7 @@
 /// What is known of a body at one time.
 #[derive(Clone, Copy)]
 pub struct ArrivalSample {
+    /// Time for which the sample holds.
     pub at: Micros,
     /// Number of bytes that have reached this machine.
     pub arrived: u64,
--- a/crates/gateway/src/driver/recent_ids.rs
+++ b/crates/gateway/src/driver/recent_ids.rs
@@ -10,7 +10,9 @@
 /// An id and the time at which it is forgotten.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecentId {
+    /// Id that the client assigned to the request.
     pub id: Box<[u8]>,
+    /// Time from which the id is accepted again.
     pub forgotten_at: Micros,
 }
 
--- a/crates/gateway/tests/loopback/rig/crowd.rs
+++ b/crates/gateway/tests/loopback/rig/crowd.rs
@@ -19,7 +19,7 @@
 /// Position behind the status code in a response.
 const STATUS_END: usize = 12;
 
-/// A client of the crowd.
+/// One connection, and what is still to be written to it.
 struct CrowdClient {
     stream: TcpStream,
     /// The part of the input that has not been written yet.
