Retry an answer whose server stops elsewhere while there is time

An answer of unknown length was passed on at each attempt's timeout if its server had written within 0.45 s, also where another attempt could follow: a server that hung after the beginning of an answer got its request answered with that beginning, where another server answered before. Change: where there is time for another attempt, a server counts as still writing for 0.1 s only.

--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -101,6 +101,8 @@
     client_deadline: ClientDeadline,
     /// Time at which a response that is still arriving is passed on; `None` while the client's time has not begun.
     pass_on_at: Cell<Option<Instant>>,
+    /// Whether the attempt times out so long before the client does that another one may follow.
+    leaves_time_for_retry: Cell<bool>,
 }
 
 impl AttemptConnection {
@@ -110,6 +112,13 @@
         let margin = MAX_PASS_ON_MARGIN.min(remaining / PASS_ON_MARGIN_DIVISOR);
         self.pass_on_at.set(Some(attempt_deadline - margin));
         self.client_deadline.set(Some(client_deadline));
+        let time_after = client_deadline.saturating_duration_since(attempt_deadline);
+        self.leaves_time_for_retry.set(time_after > MAX_PASS_ON_MARGIN);
+    }
+
+    /// Returns whether the attempt times out so long before the client does that another one may follow.
+    pub fn leaves_time_for_retry(&self) -> bool {
+        self.leaves_time_for_retry.get()
     }
 
     /// Returns the time until which the client waits, as it changes.
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -18,13 +18,16 @@
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout_at};
 
 /// Maximum length of a response body. It exceeds the limit for request bodies, because servers send longer
 /// bodies than they accept.
 const MAX_RESPONSE_BODY_BYTES: u64 = 64 << 20;
 
+/// Longest pause in which a server counts as still writing its response where another server could be tried instead.
+const MAX_PAUSE_BEFORE_RETRY: Duration = Duration::from_millis(100);
+
 /// Sends attempts over the connections of a pool.
 pub struct Upstream {
     /// Listed servers and the connections to them.
@@ -240,7 +243,9 @@
     async fn pass_on_due(&self, connection: &ServerConnection, length: Option<u64>) {
         if length.is_none() {
             self.connection.pass_on_due().await;
-            if connection.time_since_read() < MAX_WRITE_PAUSE {
+            let may_be_retried = self.connection.leaves_time_for_retry();
+            let max_pause = if may_be_retried { MAX_PAUSE_BEFORE_RETRY } else { MAX_WRITE_PAUSE };
+            if connection.time_since_read() < max_pause {
                 return;
             }
         }
--- a/crates/gateway/tests/loopback/slow_answers.rs
+++ b/crates/gateway/tests/loopback/slow_answers.rs
@@ -6,6 +6,7 @@
 use crate::rig::deployment::Deployment;
 use crate::rig::message::{pattern, read_head};
 use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout};
+use crate::rig::server::{Reply, Server};
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
@@ -17,6 +18,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(550);
 /// Length of a long answer.
 const LONG_ANSWER_BYTES: usize = 160 << 10;
+/// Number of requests of which some reach a server that hangs.
+const REPLACED_ANSWERS: usize = 6;
 /// Interval between the pieces of an answer.
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between the lumps of an answer.
@@ -135,6 +138,20 @@
     }
 }
 
+/// A server that hangs in an answer loses its request to another one, for as long as there is time.
+#[test]
+fn answer_whose_server_stops_is_replaced_by_that_of_another_server() {
+    let beginning = format!("{}4\r\nhalf\r\n", Framing::Chunked.head());
+    let hanging = Server::start(move |_| Reply::Raw(beginning.clone()));
+    let healthy = Server::healthy();
+    let gateway = Deployment::with_two_zones(hanging.address, healthy.address).start();
+    for _ in 0..REPLACED_ANSWERS {
+        let response = gateway.connect().call(&idempotent_request());
+        assert_eq!((response.status(), response.body.as_slice()), (200, b"done".as_slice()));
+    }
+    assert!(!hanging.unread_requests().is_empty(), "no request reached the server that hangs");
+}
+
 /// A server that hangs in a short answer: what its client gets shows that the answer is not whole.
 #[test]
 fn answer_whose_server_stops_is_ended_soon_after_the_client_timeout() {
