Bound the history of a body that trickles in

Found on reading the change again. While a client was kept from sending and then not, in turns, ArrivalHistory kept a sample every 50 ms until 4 MiB more had arrived: 40 bytes, 20 times a second, for as long as a client trickles. Class of the fault: a table that a peer can keep growing. Change: besides the newest, samples less than 256 KiB apart are not kept, so that the earliest time of a byte's writing is exact to the time of that many bytes.

--- a/crates/gateway/src/driver/arrival_history.rs
+++ b/crates/gateway/src/driver/arrival_history.rs
@@ -7,6 +7,8 @@
 
 /// Most data that a client's system keeps for a connection that does not take it, by Linux's default.
 const MAX_UNSENT_BYTES: u64 = 4 << 20;
+/// Number of bytes between two samples that are kept.
+const SAMPLE_STEP_BYTES: u64 = MAX_UNSENT_BYTES / 16;
 /// Time without a byte taken of a body after which its client may be kept from sending, in microseconds.
 const MIN_HELD_BACK_TIME: Micros = 20_000;
 
@@ -50,6 +52,11 @@
         }
         self.is_blocked |=
             !sample.is_caught_up && (!was_caught_up || sample.held_back_for >= MIN_HELD_BACK_TIME);
+        let before_last = self.samples.len().checked_sub(2).and_then(|index| self.samples.get(index));
+        // The last sample is kept for the next call, but only one for each step for later ones.
+        if before_last.is_some_and(|before| sample.arrived < before.arrived + SAMPLE_STEP_BYTES) {
+            self.samples.pop_back();
+        }
         self.samples.push_back(sample);
         while self.samples.get(1).is_some_and(|second| second.arrived + MAX_UNSENT_BYTES <= sample.arrived) {
             self.samples.pop_front();
--- a/crates/gateway/src/driver/arrival_history/tests.rs
+++ b/crates/gateway/src/driver/arrival_history/tests.rs
@@ -53,3 +53,15 @@
     });
     assert_eq!(history.earliest_write(1), Some(7));
 }
+
+/// Guards against memory that grows for as long as a client trickles in a body that is taken in turns.
+#[test]
+fn history_of_a_body_that_trickles_in_has_a_bounded_length() {
+    for caught_up in [[true, false], [false, false]] {
+        let pattern: Vec<bool> = caught_up.into_iter().cycle().take(10_000).collect();
+        let (history, _) = history(&pattern, 1);
+        assert!(history.samples.len() <= 20, "{} samples of {caught_up:?}", history.samples.len());
+    }
+    let (history, _) = history(&[false; 10_000], 10_000);
+    assert!(history.samples.len() <= 20, "{} samples", history.samples.len());
+}
