Encode an id only while there is another process to send it to

Each attempt of a request that must not run twice copied its id for an exchange that is active during a hand-over only. Constants stand above the types that they belong to, the end of a late answer is computed in one place, and two comments of Upload name the client that disconnects. No change of behaviour.

--- a/crates/gateway/src/bodies/late_answer.rs
+++ b/crates/gateway/src/bodies/late_answer.rs
@@ -71,8 +71,7 @@
         }
         loop {
             ready!(self.timer.as_mut().poll(cx));
-            let latest_end = self.client_deadline.get().map(|deadline| deadline + LATE_ANSWER_GRACE);
-            let is_late = latest_end.is_some_and(|latest_end| std::time::Instant::now() >= latest_end);
+            let is_late = latest_end(&self.client_deadline).is_some_and(|end| Instant::now() >= end);
             if is_late && !progress.goes_on() {
                 return Poll::Ready(());
             }
@@ -84,6 +83,10 @@
 /// Returns the time of the next check of an answer.
 fn next_check(client_deadline: &ClientDeadline) -> Instant {
     let earliest = Instant::now() + CHECK_INTERVAL;
-    let latest_end = client_deadline.get().map(|deadline| Instant::from(deadline + LATE_ANSWER_GRACE));
-    latest_end.map_or(earliest, |latest_end| latest_end.max(earliest))
+    latest_end(client_deadline).map_or(earliest, |end| end.max(earliest))
+}
+
+/// Returns the time by which an answer that does not go on ends; `None` while the client's time has not begun.
+fn latest_end(client_deadline: &ClientDeadline) -> Option<Instant> {
+    client_deadline.get().map(|deadline| Instant::from(deadline + LATE_ANSWER_GRACE))
 }
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -14,6 +14,7 @@
 /// Maximum time without data from a client in the middle of its body. A client that stops there must get its answer
 /// within 3 s, as must one that stops in a short request.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// The body of a client's request, which owns the part that the client is still sending. A body can be sent any
 /// number of times for as long as all that was forwarded of it is kept, afterwards only once.
 pub struct Upload {
@@ -57,7 +58,7 @@
     Forwarding(AttemptNumber),
     /// This attempt has forwarded the remainder to its end.
     Forwarded(AttemptNumber),
-    /// The client ended the body early, or stalled.
+    /// The client ended the body early, stalled, or disconnected before its last part was forwarded.
     Failed,
 }
 
@@ -121,7 +122,7 @@
         }
     }
 
-    /// Returns whether the client ended the body early, or stalled.
+    /// Returns whether the client ended the body early, stalled, or disconnected before its last part was forwarded.
     pub fn has_failed(&self) -> bool {
         self.state.get() == UploadState::Failed
     }
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -27,8 +27,10 @@
             state.events.push_back(not_sent.into_event(id, attempt, server, 0, request_finished));
             return;
         }
-        if let Some(recent) = request.guarded_id(now) {
-            state.id_exchange.send(now, &recent);
+        if state.id_exchange.is_active() {
+            if let Some(recent) = request.guarded_id(now) {
+                state.id_exchange.send(now, &recent);
+            }
         }
         let deadline = request.attempt_deadline(now, Some(timeout).filter(|timeout| *timeout > 0));
         let connection = Rc::new(AttemptConnection::default());
--- a/crates/gateway/src/driver/id_exchange.rs
+++ b/crates/gateway/src/driver/id_exchange.rs
@@ -109,9 +109,6 @@
 
     /// Sends an id to the other processes. The exchange with one that takes nothing ends.
     pub fn send(&mut self, now: Micros, recent: &RecentId) {
-        if self.others.is_empty() {
-            return;
-        }
         let encoded = encode(now, recent);
         self.others.retain_mut(|other| match other.stream.write_all(&encoded) {
             Ok(()) => true,
--- a/crates/gateway/src/driver/pending_request.rs
+++ b/crates/gateway/src/driver/pending_request.rs
@@ -12,6 +12,9 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+/// Maximum time for which a body is held back without any progress, in microseconds.
+const MAX_HELD_BACK_TIME: Micros = 15_000_000;
+
 /// A request to be inserted into the table.
 pub struct NewRequest {
     /// Id that the client assigned to the request.
@@ -33,9 +36,6 @@
     pub id_guard_time: Option<Micros>,
 }
 
-/// Maximum time for which a body is held back without any progress, in microseconds.
-const MAX_HELD_BACK_TIME: Micros = 15_000_000;
-
 /// An attempt that has been started and has not ended yet.
 pub struct InFlightAttempt {
     /// Index of the attempt among the attempts of its request.
--- a/crates/gateway/src/lifecycle/resources.rs
+++ b/crates/gateway/src/lifecycle/resources.rs
@@ -27,7 +27,6 @@
 const RESPONSE_PERCENT: usize = 7;
 /// Share of the memory for request bodies.
 const REQUEST_PERCENT: usize = 12;
-
 /// Share of the memory for the records of customers.
 const CUSTOMER_PERCENT: usize = 10;
 
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -11,6 +11,14 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep_until;
 
+/// Longest time before the timeout of an attempt at which the response that is still arriving is passed on. The client
+/// has to receive its beginning by then, also from a process that waited for a core.
+const MAX_PASS_ON_MARGIN: Duration = Duration::from_millis(50);
+/// Divisor of the time of an attempt that gives the margin of a short one.
+const PASS_ON_MARGIN_DIVISOR: u32 = 4;
+/// Interval between checks for the deadline of an attempt whose request is still arriving.
+const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A client's request in the form in which it is forwarded to servers.
 pub struct OutgoingRequest {
     /// HTTP method of the client's request.
@@ -35,14 +43,6 @@
     pub response_deadline: Instant,
 }
 
-/// Longest time before the timeout of an attempt at which the response that is still arriving is passed on. The client
-/// has to receive its beginning by then, also from a process that waited for a core.
-const MAX_PASS_ON_MARGIN: Duration = Duration::from_millis(50);
-/// Divisor of the time of an attempt that gives the margin of a short one.
-const PASS_ON_MARGIN_DIVISOR: u32 = 4;
-/// Interval between checks for the deadline of an attempt whose request is still arriving.
-const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The outcome of an attempt, with or without a response.
 pub struct AttemptOutcome {
     /// Classification of the response or of its absence.
