Give the connections of clients a receive buffer of several segments

What callers saw: sound clients were answered with 429 in the middle of a long body, as clients that send nothing; the end of a client that had closed was not seen.

Cause: the gateway has read clients in pieces of 8 KiB since the memory of their connections was bounded, so the kernel no longer enlarged the receive buffer, which holds one or two segments of the loopback interface (64 KiB each). The kernel announces no room unless a whole segment fits, and the client's kernel then tries again only after 0.2 s, 0.4 s and so on, up to more than 6 s (the timer of a window probe in /proc/net/tcp, with 18 to 164 kB unread here and 72 to 129 kB unsent there). The gateway waits 2.5 s for data.

Change: the listener asks for 256 KiB, of its own or of a predecessor. The kernel no longer enlarges it by itself, so that the kernel's memory for a client has a bound as well.

The test rig reads /proc/net/tcp again for a row that a read has missed.

--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -6,6 +6,7 @@
 use crate::lifecycle::error::RunError;
 use crate::lifecycle::id_exchange;
 use crate::lifecycle::takeover::{self, ControlConnection, Predecessor};
+use crate::network::client_buffers::set_buffer_sizes;
 use crate::network::system_error::is_transient;
 use std::future::Future;
 use std::io;
@@ -22,8 +23,6 @@
 const RETRY_PERIOD: Duration = Duration::from_secs(9);
 /// Delay before a call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Size of the system's send buffer of a client connection.
-const SEND_BUFFER_BYTES: u32 = 128 << 10;
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
@@ -116,9 +115,7 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
-    // With a small send buffer, data that a slow client has not read yet stays at the server, writes are
-    // frequent enough to show that the client makes progress, and little of the system's memory is used.
-    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    set_buffer_sizes(&socket)?;
     socket.bind(address)?;
     socket.listen(LISTEN_BACKLOG)
 }
--- a/crates/gateway/src/lifecycle/takeover.rs
+++ b/crates/gateway/src/lifecycle/takeover.rs
@@ -3,6 +3,7 @@
 //! state of the decision core.
 
 use crate::driver::decision_driver::DecisionDriver;
+use crate::network::client_buffers::set_buffer_sizes;
 use crate::network::socket::Socket;
 use rustix::io::retry_on_intr;
 use rustix::net::{
@@ -77,6 +78,7 @@
     let descriptor = receive_descriptor(connection.get_ref()).await?.ok_or_else(malformed)?;
     let listener = std::net::TcpListener::from(descriptor);
     listener.set_nonblocking(true)?;
+    set_buffer_sizes(&listener)?;
     let length = connection.read_u64().await?;
     let mut state = String::new();
     (&mut connection).take(length.min(MAX_STATE_BYTES)).read_to_string(&mut state).await?;
--- a/crates/gateway/src/network/mod.rs
+++ b/crates/gateway/src/network/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, HTTP headers and system errors, shared by all modules of the gateway.
 
+pub mod client_buffers;
 pub mod handshake_filter;
 pub mod headers;
 pub mod repeat_limiter;
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -31,6 +31,10 @@
 const STEADY_READ_BYTES: usize = 64 << 10;
 /// Number of chunks of a body that is longer than the systems' buffers on the way, but for the end of it.
 const SLOW_BODY_CHUNKS: usize = 48;
+/// Number of clients that send long bodies at once.
+const SENDING_CLIENTS: usize = 10;
+/// Time from a client's end within which its request ends.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay of a slow server between two reads.
 const SLOW_READ_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -73,6 +77,20 @@
         panic!("the gateway holds nothing back");
     }
 
+    /// Closes the client's connection and asserts that its request, the only one, ends in time.
+    fn assert_request_ends_with_its_client(self) {
+        let operators = self.gateway.operator_address();
+        let active = |count: usize| format!("gateway_active {count}\n");
+        let stats = || String::from_utf8(operator_get(operators, "/admin/stats").body).unwrap();
+        assert!(stats().contains(&active(1)), "{}", stats());
+        drop(self.client);
+        let deadline = Instant::now() + DISCONNECT_TIMEOUT;
+        while !stats().contains(&active(0)) {
+            assert!(Instant::now() < deadline, "the request is still active 5 s after its client has gone");
+            thread::yield_now();
+        }
+    }
+
     /// Ends the body, waits for the answer, and asserts that it arrives in time and that the client may retry.
     fn assert_rejected_in_time(&mut self) {
         self.client.write("0\r\n\r\n");
@@ -171,17 +189,24 @@
 #[test]
 fn attempt_ends_when_the_client_of_a_held_back_body_disconnects() {
     let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
-    let operators = rig.gateway.operator_address();
     let _hanging = rig.send_until_held_back();
-    let active = |count: usize| format!("gateway_active {count}\n");
-    let stats = || String::from_utf8(operator_get(operators, "/admin/stats").body).unwrap();
-    assert!(stats().contains(&active(1)), "{}", stats());
-    drop(rig.client);
-    let deadline = Instant::now() + Duration::from_secs(5);
-    while !stats().contains(&active(0)) {
-        assert!(Instant::now() < deadline, "the request is still active 5 s after its client has gone");
-        thread::yield_now();
-    }
+    rig.assert_request_ends_with_its_client();
+}
+
+/// Guards against sound clients that are cut off as clients that send nothing: their machine waited for seconds before
+/// it tried again whether the gateway's had room.
+#[test]
+fn clients_whose_machine_waits_for_room_are_not_cut_off() {
+    let send = || {
+        let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
+        let _hanging = rig.send_until_held_back();
+        rig.assert_request_ends_with_its_client();
+    };
+    thread::scope(|scope| {
+        for _ in 0..SENDING_CLIENTS {
+            scope.spawn(send);
+        }
+    });
 }
 
 /// Guards against a client that stops in the middle of a long body and keeps its connection: nobody answered it for
--- a/crates/gateway/tests/loopback/rig/gateway_process.rs
+++ b/crates/gateway/tests/loopback/rig/gateway_process.rs
@@ -20,6 +20,8 @@
 const CLOSE_WAIT: &str = "08";
 /// Time after which input that the gateway has not read counts as held back.
 const HELD_BACK_TIME: Duration = Duration::from_millis(300);
+/// Time within which a connection is found in the system's table.
+const MAX_TABLE_TIME: Duration = Duration::from_millis(100);
 /// Fields of `/proc/PID/stat` for user and system time, counted from the process state as field 0.
 const CPU_TIME_FIELDS: [usize; 2] = [11, 12];
 
@@ -206,17 +208,9 @@
         true
     }
 
-    /// Returns the number of bytes of a client that have reached the gateway's machine and were not read, by
-    /// `/proc/net/tcp`.
+    /// Returns the number of bytes of a client that have reached the gateway's machine and were not read.
     fn unread_bytes_of(&self, client: &Client) -> u64 {
-        let (local, remote) = (self.address.port(), client.port());
-        let (local, remote) = (format!(":{local:04X}"), format!(":{remote:04X}"));
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<&str>>());
-        let mut rows =
-            rows.filter(|row| row.len() > 4 && row[1].ends_with(&local) && row[2].ends_with(&remote));
-        let (_, unread) = rows.next().expect("the client is connected")[4].split_once(':').unwrap();
-        u64::from_str_radix(unread, 16).unwrap()
+        unread_bytes(self.address.port(), client.port())
     }
 
     /// Returns the number of connections at the gateway's port in a state of `/proc/net/tcp`.
@@ -246,3 +240,28 @@
         let _ = self.child.wait();
     }
 }
+
+/// Returns the number of bytes that have arrived at `local_port` of a connection and were not read, by `/proc/net/tcp`.
+/// A read of that table may miss a row while other connections come and go.
+fn unread_bytes(local_port: u16, remote_port: u16) -> u64 {
+    let deadline = Instant::now() + MAX_TABLE_TIME;
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let found = table.lines().find_map(|row| parse_unread_bytes(row, local_port, remote_port));
+        if let Some(unread) = found {
+            return unread;
+        }
+        assert!(Instant::now() < deadline, "the client is connected");
+    }
+}
+
+/// Returns the number of bytes that were not read, if `row` of `/proc/net/tcp` is that of the connection.
+fn parse_unread_bytes(row: &str, local_port: u16, remote_port: u16) -> Option<u64> {
+    let columns: Vec<&str> = row.split_whitespace().collect();
+    let &[_, local, remote, _, queues, ..] = columns.as_slice() else { return None };
+    if !local.ends_with(&format!(":{local_port:04X}")) || !remote.ends_with(&format!(":{remote_port:04X}")) {
+        return None;
+    }
+    let (_, unread) = queues.split_once(':')?;
+    u64::from_str_radix(unread, 16).ok()
+}
