Divide the memory between the two processes of an upgrade

What an operator would see: both processes of an upgrade under a crowd of slow clients use more than the memory of one gateway, which is what the limit counts, and are killed.

Cause: each process divided the whole limit among its clients, servers and bodies. Class: a limit that has two owners.

Change: a process that has handed over keeps to half of the memory. Its successor keeps to what that process does not use, which it reads every 100 ms from the kernel, less an eighth of all for growth, and takes all of it once the process has ended. Both keep a fifth of what is beyond the process itself. The limits on connections to servers and on bodies follow; what is in use stays. Connections of clients in excess are closed as others are accepted, if idle.

Without the end of the share the second test fails. Open: descriptors, the table of customers, and a process whose predecessor is in another pid namespace, which keeps to all of the memory as before.

--- a/crates/gateway/src/bodies/memory.rs
+++ b/crates/gateway/src/bodies/memory.rs
@@ -1,5 +1,7 @@
 //! The memory for bodies, which all requests, or all responses, share.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -11,9 +13,9 @@
 pub struct BodyMemory {
     permits: Arc<Semaphore>,
     /// Number of permits while nothing is reserved.
-    total: usize,
-    /// Number of permits that a reservation which does not wait leaves for others.
-    kept_free: usize,
+    total: Rc<Cell<usize>>,
+    /// Whether a reservation which does not wait leaves half of all permits to others.
+    leaves_half: bool,
 }
 
 /// A part of the memory, reserved until it is dropped.
@@ -32,12 +34,29 @@
     /// Creates a memory of `bytes` bytes.
     pub fn new(bytes: usize) -> BodyMemory {
         let total = bytes / BYTES_PER_PERMIT;
-        BodyMemory { permits: Arc::new(Semaphore::new(total)), total, kept_free: 0 }
+        BodyMemory {
+            permits: Arc::new(Semaphore::new(total)),
+            total: Rc::new(Cell::new(total)),
+            leaves_half: false,
+        }
+    }
+
+    /// Changes the size to `bytes` bytes. What is reserved stays reserved: the memory is then larger until a later call.
+    pub fn resize(&self, bytes: usize) {
+        let wanted = bytes / BYTES_PER_PERMIT;
+        let total = self.total.get();
+        if wanted < total {
+            let forgotten = self.permits.forget_permits(total - wanted);
+            self.total.set(total - forgotten);
+        } else {
+            self.permits.add_permits(wanted - total);
+            self.total.set(wanted);
+        }
     }
 
     /// Returns the same memory for what can be done without: reservations from it leave half of all memory to others.
     pub fn spare(&self) -> BodyMemory {
-        BodyMemory { kept_free: self.total / 2, ..self.clone() }
+        BodyMemory { leaves_half: true, ..self.clone() }
     }
 
     /// Reserves memory once it is available.
@@ -49,7 +68,8 @@
     /// Reserves memory if it is available.
     pub fn try_reserve(&self, bytes: usize) -> Option<Reservation> {
         let wanted = permit_count(bytes);
-        if self.permits.available_permits() < self.kept_free + wanted as usize {
+        let kept_free = if self.leaves_half { self.total.get() / 2 } else { 0 };
+        if self.permits.available_permits() < kept_free + wanted as usize {
             return None;
         }
         let permits = self.permits.clone().try_acquire_many_owned(wanted);
@@ -61,3 +81,6 @@
 fn permit_count(bytes: usize) -> u32 {
     bytes.div_ceil(BYTES_PER_PERMIT) as u32
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/clients/connection_table.rs
+++ b/crates/gateway/src/clients/connection_table.rs
@@ -16,7 +16,7 @@
     connections: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     next_key: Cell<u64>,
     /// Number of connections that may be open.
-    max_connections: usize,
+    max_connections: Cell<usize>,
     last_accepted_at: Cell<Instant>,
     /// Notified when a connection has been closed.
     connection_closed: Notify,
@@ -28,12 +28,17 @@
         ConnectionTable {
             connections: RefCell::default(),
             next_key: Cell::new(0),
-            max_connections,
+            max_connections: Cell::new(max_connections),
             last_accepted_at: Cell::new(Instant::now()),
             connection_closed: Notify::new(),
         }
     }
 
+    /// Changes the number of connections that may be open.
+    pub fn set_limit(&self, max_connections: usize) {
+        self.max_connections.set(max_connections);
+    }
+
     /// Adds a newly accepted connection.
     pub fn insert(&self, stream: TcpStream) -> Rc<ClientConnection> {
         self.last_accepted_at.set(Instant::now());
@@ -57,7 +62,7 @@
 
     /// Returns whether more connections are open than allowed.
     pub fn is_over_limit(&self) -> bool {
-        self.connections.borrow().len() > self.max_connections
+        self.connections.borrow().len() > self.max_connections.get()
     }
 
     /// Returns whether a connection that was signalled to close is still open.
@@ -86,7 +91,8 @@
             let connection = connections.get(&key);
             connection.is_some_and(|connection| connection.stream.has_unread_input())
         };
-        let selected = eviction::select(&candidates, Instant::now(), self.max_connections, has_unread_input);
+        let limit = self.max_connections.get();
+        let selected = eviction::select(&candidates, Instant::now(), limit, has_unread_input);
         if let Some(connection) = selected.and_then(|key| connections.get(&key)) {
             connection.signal_close();
         }
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -68,6 +68,11 @@
         RequestHandler { driver, head_parser, body_memory }
     }
 
+    /// Changes the memory for request bodies, which is enough for one body at least.
+    pub fn set_body_memory(&self, bytes: usize) {
+        self.body_memory.resize(bytes.max(MAX_BUFFERED_BODY_BYTES));
+    }
+
     /// Returns the response to a request.
     pub async fn respond(
         &self,
--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -59,6 +59,12 @@
         })
     }
 
+    /// Changes the limits on connections and on the memory for request bodies.
+    pub fn set_limits(&self, max_connections: usize, body_memory_bytes: usize) {
+        self.connections.set_limit(max_connections);
+        self.handler.set_body_memory(body_memory_bytes);
+    }
+
     /// Accepts connections until the future is dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut consecutive_errors = 0;
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -167,6 +167,11 @@
         self.transports.upstream.pool.close_idle();
     }
 
+    /// Changes the limits on connections to servers and on the memory for buffered responses.
+    pub fn set_server_limits(&self, connections: usize, response_bytes: usize) {
+        self.transports.upstream.set_limits(connections, response_bytes);
+    }
+
     /// Records an event at a request that has not been submitted.
     pub fn record_event(&self, event: RequestEvent, client_request_id: &[u8]) {
         self.request_counters.events.record(event, client_request_id);
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -6,6 +6,7 @@
 pub mod resources;
 pub mod services;
 pub mod serving;
+pub mod shared_memory;
 pub mod shutdown;
 pub mod signals;
 pub mod startup;
--- a/crates/gateway/src/lifecycle/resources.rs
+++ b/crates/gateway/src/lifecycle/resources.rs
@@ -9,6 +9,8 @@
 const RESERVED_DESCRIPTORS: usize = 40 + operations::server::MAX_CONNECTIONS;
 /// Memory of the process without its connections and bodies.
 const PROCESS_BYTES: usize = 7_000_000;
+/// A process keeps at least 1 / `LEAST_SHARE_DIVISOR` of the memory beyond [`PROCESS_BYTES`].
+const LEAST_SHARE_DIVISOR: usize = 5;
 /// Memory of a client's connection: its task and the buffers that hyper keeps for it.
 const CLIENT_CONNECTION_BYTES: usize = 18 << 10;
 /// Memory of a connection to a server that carries a request: its task, that of the attempt, and the buffers that hyper
@@ -30,6 +32,27 @@
 /// Share of the memory for the records of customers.
 const CUSTOMER_PERCENT: usize = 10;
 
+/// Limits on the resources of the process.
+#[derive(Clone, Copy)]
+pub struct ResourceLimits {
+    /// Limit on memory, in bytes.
+    pub memory_bytes: usize,
+    /// Limit on file descriptors.
+    pub descriptors: usize,
+}
+
+impl ResourceLimits {
+    /// Returns the limits of a configuration.
+    pub fn new(config: &Config) -> ResourceLimits {
+        ResourceLimits { memory_bytes: config.max_memory_bytes, descriptors: config.max_descriptors }
+    }
+
+    /// Returns the memory that a process needs to serve beside another one.
+    pub fn least_memory_bytes(self) -> usize {
+        PROCESS_BYTES + (self.memory_bytes - PROCESS_BYTES) / LEAST_SHARE_DIVISOR
+    }
+}
+
 /// Limits on the resources of each part of the gateway.
 pub struct ResourceBudget {
     /// Limit on connections of clients.
@@ -45,14 +68,14 @@
 }
 
 impl ResourceBudget {
-    /// Divides the limits of a configuration. As far as memory allows, servers get at least as many connections as
+    /// Divides the limits of the process. As far as memory allows, servers get at least as many connections as
     /// clients: a client connection has at most one attempt in flight, so an idle server connection can always be
     /// closed to make room for an attempt.
-    pub fn new(config: &Config) -> ResourceBudget {
-        let reserved = RESERVED_DESCRIPTORS.min(config.max_descriptors / 2);
-        let connections = config.max_descriptors - reserved;
+    pub fn new(limits: ResourceLimits) -> ResourceBudget {
+        let reserved = RESERVED_DESCRIPTORS.min(limits.descriptors / 2);
+        let connections = limits.descriptors - reserved;
         let client_connections = connections / 2;
-        let memory = config.max_memory_bytes - PROCESS_BYTES;
+        let memory = limits.memory_bytes - PROCESS_BYTES;
         let share = |percent: usize| memory / 100 * percent;
         ResourceBudget {
             client_connections: client_connections
--- a/crates/gateway/src/lifecycle/serving.rs
+++ b/crates/gateway/src/lifecycle/serving.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::server::ClientServer;
 use crate::driver::decision_driver::DecisionDriver;
+use crate::lifecycle::shared_memory::MemoryDivision;
 use crate::lifecycle::signals::StopSignal;
 use crate::lifecycle::takeover;
 use std::rc::Rc;
@@ -23,6 +24,7 @@
 pub async fn serve_until_stopped(
     clients: &Rc<ClientServer>,
     driver: &Rc<DecisionDriver>,
+    memory: &MemoryDivision,
     listener: &TcpListener,
     control_socket: Option<&UnixListener>,
     stop: &mut StopSignal,
@@ -38,6 +40,7 @@
             successor = takeover::accept_successor(control_socket) => successor,
         };
         clients.set_handed_over(true);
+        memory.set_handed_over(true);
         let error = tokio::select! {
             error = takeover::hand_over(&mut successor, listener, driver) => error,
             signalled_at = &mut *stop => {
@@ -45,6 +48,7 @@
             }
         };
         warn!(%error, "the successor process ended; continuing to accept clients");
+        memory.set_handed_over(false);
         clients.set_handed_over(false);
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -20,9 +20,10 @@
 use crate::lifecycle::error::RunError;
 use crate::lifecycle::id_exchange;
 use crate::lifecycle::reload::ConfigReloader;
-use crate::lifecycle::resources::ResourceBudget;
+use crate::lifecycle::resources::{ResourceBudget, ResourceLimits};
 use crate::lifecycle::services::{self, Services};
 use crate::lifecycle::serving::serve_until_stopped;
+use crate::lifecycle::shared_memory::MemoryDivision;
 use crate::lifecycle::shutdown::Shutdown;
 use crate::lifecycle::signals::Signals;
 use crate::lifecycle::startup::{self, ClientListener};
@@ -98,7 +99,8 @@
 async fn serve(mut config: Config, path: PathBuf) -> Result<(), RunError> {
     let mut signals = Signals::install().map_err(RunError::Signal)?;
     let longest_deadline = config.longest_deadline();
-    let resources = ResourceBudget::new(&config);
+    let limits = ResourceLimits::new(&config);
+    let resources = ResourceBudget::new(limits);
     let Services { driver, counter, discovery_address } = services::start(&mut config, &resources).await?;
     let name = config.name.clone();
     let operations_listen = config.operations_listen;
@@ -116,6 +118,10 @@
     let control_socket = takeover::listen_for_successor(address);
     spawn_local(ConfigReloader { path, discovery_address, counter }.run(signals.reload));
     let clients = start_client_server(config, &resources, &driver);
+    let memory = MemoryDivision::new(limits, clients.clone(), driver.clone());
+    if let Some(predecessor) = listener.predecessor_process() {
+        memory.follow_predecessor(predecessor);
+    }
     info!(gateway = %name, %address, "accepting clients");
     resources.log();
     if let Some(address) = operations_listen {
@@ -123,7 +129,9 @@
     }
 
     let stop = &mut signals.stop;
-    let end = serve_until_stopped(&clients, &driver, &listener.socket, control_socket.as_ref(), stop).await?;
+    let end =
+        serve_until_stopped(&clients, &driver, &memory, &listener.socket, control_socket.as_ref(), stop)
+            .await?;
     // Closed before the shutdown, since a successor that connected now would wait for a hand-over that never
     // takes place.
     drop(control_socket);
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -67,6 +67,12 @@
         Upstream { pool, body_memory: BodyMemory::new(body_memory_bytes), max_units }
     }
 
+    /// Changes the limits on connections to servers and on the memory for buffered responses.
+    pub fn set_limits(&self, connections: usize, body_memory_bytes: usize) {
+        self.pool.set_limit(connections);
+        self.body_memory.resize(body_memory_bytes);
+    }
+
     /// Sends a request once within the deadlines and reads the response. Increments `written_counter` once
     /// the request has been written completely.
     pub async fn exchange(
--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -96,7 +96,7 @@
     /// Number of open connections, idle or in use.
     open_connections: Rc<Cell<usize>>,
     /// Maximum number of open connections, idle or in use.
-    max_connections: usize,
+    max_connections: Cell<usize>,
     connect_timeout: Duration,
     /// Idle time after which a connection is closed.
     max_idle: Duration,
@@ -113,12 +113,17 @@
         ConnectionPool {
             servers: RefCell::default(),
             open_connections: Rc::default(),
-            max_connections,
+            max_connections: Cell::new(max_connections),
             connect_timeout,
             max_idle: server_idle_timeout.mul_f64(MAX_IDLE_FRACTION),
         }
     }
 
+    /// Changes the maximum number of open connections. Connections in use stay open.
+    pub fn set_limit(&self, max_connections: usize) {
+        self.max_connections.set(max_connections);
+    }
+
     /// Applies a delta of the endpoint list, or a complete list. Closes idle connections that were not opened
     /// to a listed process or whose server is not ready.
     pub fn update(&self, is_complete: bool, endpoints: &[ListedEndpoint]) {
@@ -191,7 +196,7 @@
     /// Opens a new connection, or returns the status of an attempt that cannot have one.
     pub async fn connect(&self, server: ServerId) -> Result<PooledConnection, AttemptStatus> {
         let process = self.ready_process(server).ok_or(AttemptStatus::ConnectFailed)?;
-        if self.open_connections.get() >= self.max_connections && !self.close_oldest_idle() {
+        if self.open_connections.get() >= self.max_connections.get() && !self.close_oldest_idle() {
             return Err(AttemptStatus::NotSent);
         }
         let open_guard = OpenConnectionGuard::new(&self.open_connections);
--- a/crates/gateway/tests/loopback/memory.rs
+++ b/crates/gateway/tests/loopback/memory.rs
@@ -3,11 +3,15 @@
 
 use crate::rig::bulk_server::start_bulk_server;
 use crate::rig::chunks::encode_chunk;
+use crate::rig::client::Client;
 use crate::rig::crowd::Crowd;
 use crate::rig::deployment::Deployment;
 use crate::rig::endpoint::Endpoint;
+use crate::rig::files::TemporaryFolder;
 use crate::rig::gateway_process::GatewayProcess;
-use crate::rig::request::{idempotent_request, non_idempotent_request, with_framing, with_header_lines};
+use crate::rig::request::{
+    idempotent_request, non_idempotent_request, with_framing, with_header_lines, HEALTH_CHECK,
+};
 use std::iter;
 use std::net::{SocketAddr, TcpListener};
 
@@ -21,6 +25,10 @@
 const CLIENT_COUNT: usize = 470;
 /// Number of clients that wait for long answers at once.
 const ANSWERED_CLIENT_COUNT: usize = 280;
+/// Number of clients of a process that is being replaced.
+const OLD_CLIENT_COUNT: usize = 200;
+/// Number of clients for which a process needs most of the memory.
+const LATER_CLIENT_COUNT: usize = 300;
 /// Number of servers, among which hundreds of answers at once overload none.
 const SERVER_COUNT: usize = 16;
 /// Length of the longest body that is buffered before it is forwarded.
@@ -37,6 +45,11 @@
 
 /// Starts a gateway in front of several servers.
 fn start_gateway_with_servers(servers: impl Iterator<Item = SocketAddr>) -> GatewayProcess {
+    least_deployment(servers).start()
+}
+
+/// Returns a deployment of several servers with the least memory and the most descriptors.
+fn least_deployment(servers: impl Iterator<Item = SocketAddr>) -> Deployment {
     let endpoint = |(number, address)| Endpoint::ready(format!("s-{number}"), address);
     Deployment::new(servers.enumerate().map(endpoint).collect())
         .set("/limits/memory_mb", LEAST_MEMORY_MB)
@@ -45,7 +58,6 @@
         .set("/settings/plans/0/rate", 1e6)
         .set("/settings/plans/0/depth", 1e6)
         .all_deadlines_us(8_000_000)
-        .start()
 }
 
 /// Returns a server that takes connections and neither reads nor writes anything.
@@ -169,3 +181,41 @@
         assert_crowd_fits(&gateway, &name("input beyond a request"), pipelined);
     }
 }
+
+/// Guards against two processes of an upgrade that use the memory of one each.
+#[test]
+fn two_processes_of_an_upgrade_fit_into_the_memory_of_one() {
+    let server = hanging_server();
+    let folder = TemporaryFolder::create();
+    let deployment = least_deployment(iter::once(server.local_addr().unwrap())).control_folder(folder.path());
+    let old = deployment.start();
+    let input = || request_with_partial_body(LONG_BODY_BYTES, LONG_BODY_BYTES);
+    let mut old_crowd = Crowd::connect(old.address, OLD_CLIENT_COUNT, input);
+    old_crowd.write_until_at_rest();
+    let new = deployment.listen(old.address).start();
+    let mut new_crowd = Crowd::connect(new.address, CLIENT_COUNT, input);
+    new_crowd.write_until_at_rest();
+    let (old, new) = (old.resident_kib() * 1_024, new.resident_kib() * 1_024);
+    let limit = LEAST_MEMORY_MB * BYTES_PER_MB;
+    eprintln!("an upgrade: {old} and {new} of {limit} bytes");
+    assert!(old + new <= limit, "{old} and {new} bytes of memory, {limit} allowed");
+}
+
+/// Guards against a successor that keeps to its share of the memory once it is alone.
+#[test]
+fn successor_uses_all_of_the_memory_once_its_predecessor_has_ended() {
+    let server = hanging_server();
+    let folder = TemporaryFolder::create();
+    let deployment = least_deployment(iter::once(server.local_addr().unwrap())).control_folder(folder.path());
+    let old = deployment.start();
+    let new = deployment.listen(old.address).start();
+    old.terminate();
+    assert!(old.wait().success());
+    new.wait_for_log("the predecessor has ended");
+    let mut clients: Vec<Client> = (0..LATER_CLIENT_COUNT).map(|_| new.connect()).collect();
+    for _ in 0..2 {
+        for client in &mut clients {
+            assert_eq!(client.call(HEALTH_CHECK).status(), 200);
+        }
+    }
+}
