End a body that trickles in while others wait for its memory

Cause: each body that is forwarded as it arrives holds 24 KiB of the memory for bodies, and only the time for one piece was limited (2.5 s), not the rate. Class: a share of a common memory that a peer keeps for as long as it likes.

Change: when a piece arrives while a request waits for that memory, a body whose client has been waited for longer than 2.5 s for each 64 KiB, the time that a short body has, ends, and its request is answered as one whose client stopped. While nobody waits, a slow client goes on as before. Time in which a server holds the body back does not count. A request whose body failed counts as gateway_events{kind="incomplete_body"} and is logged with its id.

--- a/crates/gateway/src/bodies/error.rs
+++ b/crates/gateway/src/bodies/error.rs
@@ -11,6 +11,9 @@
     /// The sender sent no data within the stall timeout.
     #[error("body stalled: no data from its sender within the stall timeout")]
     Stalled,
+    /// The client sent so slowly that it kept memory from others that waited for it.
+    #[error("body was sent too slowly while others waited for its memory")]
+    TooSlow,
     /// The client's time was over, and the sender did not go on with a long answer.
     #[error("answer was not whole when the client's time was over")]
     Late,
--- a/crates/gateway/src/bodies/memory.rs
+++ b/crates/gateway/src/bodies/memory.rs
@@ -14,6 +14,8 @@
     permits: Arc<Semaphore>,
     /// Number of permits while nothing is reserved.
     total: Rc<Cell<usize>>,
+    /// Number of reservations that wait for memory.
+    waiting: Rc<Cell<usize>>,
     /// Whether a reservation which does not wait leaves half of all permits to others.
     leaves_half: bool,
 }
@@ -37,6 +39,7 @@
         BodyMemory {
             permits: Arc::new(Semaphore::new(total)),
             total: Rc::new(Cell::new(total)),
+            waiting: Rc::default(),
             leaves_half: false,
         }
     }
@@ -59,8 +62,14 @@
         BodyMemory { leaves_half: true, ..self.clone() }
     }
 
+    /// Returns whether a reservation waits for memory.
+    pub fn is_awaited(&self) -> bool {
+        self.waiting.get() > 0
+    }
+
     /// Reserves memory once it is available.
     pub async fn reserve(&self, bytes: usize) -> Option<Reservation> {
+        let _guard = WaitGuard::new(&self.waiting);
         let permits = self.permits.clone().acquire_many_owned(permit_count(bytes)).await;
         permits.ok().map(|permits| Reservation { permits })
     }
@@ -77,6 +86,25 @@
     }
 }
 
+/// Counts a reservation as waiting until the guard is dropped.
+struct WaitGuard<'a> {
+    waiting: &'a Cell<usize>,
+}
+
+impl<'a> WaitGuard<'a> {
+    /// Increments the number of waiting reservations.
+    fn new(waiting: &'a Cell<usize>) -> WaitGuard<'a> {
+        waiting.set(waiting.get() + 1);
+        WaitGuard { waiting }
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.waiting.set(self.waiting.get() - 1);
+    }
+}
+
 /// Returns the number of permits that represent at least `bytes` bytes.
 fn permit_count(bytes: usize) -> u32 {
     bytes.div_ceil(BYTES_PER_PERMIT) as u32
--- a/crates/gateway/src/bodies/upload.rs
+++ b/crates/gateway/src/bodies/upload.rs
@@ -5,6 +5,7 @@
 use crate::bodies::error::BodyError;
 use crate::bodies::memory::{BodyMemory, Reservation};
 use crate::bodies::replay_buffer::ReplayBuffer;
+use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
 use crate::bodies::stall::StallTimeoutBody;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -37,6 +38,8 @@
     on_forwarded: RefCell<Option<Box<dyn FnOnce()>>>,
     /// Reports whether the client has disconnected. The rest of a body whose client has gone is not forwarded.
     client_has_disconnected: Box<dyn Fn() -> bool>,
+    /// The memory that all request bodies share; `None` if the body is not streamed.
+    shared_memory: Option<BodyMemory>,
     /// The memory of `buffered`; `None` for a very short body.
     _buffer_memory: Option<Reservation>,
     /// The memory for forwarding a streamed body.
@@ -58,7 +61,7 @@
     Forwarding(AttemptNumber),
     /// This attempt has forwarded the remainder to its end.
     Forwarded(AttemptNumber),
-    /// The client ended the body early, stalled, or disconnected before its last part was forwarded.
+    /// The client ended the body early, stalled, was too slow, or disconnected before its last part was forwarded.
     Failed,
 }
 
@@ -76,6 +79,7 @@
         Upload {
             _forwarding_memory: forwarding_memory.filter(|_| body.remainder.is_some()),
             client_has_disconnected: Box::new(client_has_disconnected),
+            shared_memory: replay.is_some().then(|| memory.clone()),
             ..Upload::with_replay(body, length, replay)
         }
     }
@@ -104,6 +108,7 @@
             newest_attempt: Cell::default(),
             on_forwarded: RefCell::default(),
             client_has_disconnected: Box::new(|| false),
+            shared_memory: None,
             _buffer_memory: body.reservation,
             _forwarding_memory: None,
         }
@@ -122,7 +127,8 @@
         }
     }
 
-    /// Returns whether the client ended the body early, stalled, or disconnected before its last part was forwarded.
+    /// Returns whether the client ended the body early, stalled, was too slow, or disconnected before its last part was
+    /// forwarded.
     pub fn has_failed(&self) -> bool {
         self.state.get() == UploadState::Failed
     }
@@ -258,7 +264,7 @@
                 Err(error) => break Some(Err(error)),
             }
         };
-        let is_end = match &data {
+        let mut is_end = match &data {
             // hyper stops reading at the announced length, so the last data frame must be recognized as the end.
             Some(Ok(_)) => remainder.is_end_stream(),
             Some(Err(_)) | None => true,
@@ -266,6 +272,9 @@
         // The client's end can be seen only now that the body before it has been read.
         if is_end && (self.client_has_disconnected)() {
             data = Some(Err(BodyError::ClientDisconnected));
+        } else if !is_end && self.must_make_room(remainder.waited()) {
+            data = Some(Err(BodyError::TooSlow));
+            is_end = true;
         }
         self.state.set(match &data {
             Some(Err(_)) => UploadState::Failed,
@@ -282,6 +291,14 @@
         Poll::Ready(data)
     }
 
+    /// Returns whether others wait for memory, and the client has been `waited` for longer than one that needs all of
+    /// the time for a short body, again and again.
+    fn must_make_room(&self, waited: Duration) -> bool {
+        let parts = 1.0 + self.taken.get() as f64 / MAX_BUFFERED_BODY_BYTES as f64;
+        let is_slow = waited > STALL_TIMEOUT.mul_f64(parts);
+        is_slow && self.shared_memory.as_ref().is_some_and(BodyMemory::is_awaited)
+    }
+
     /// Returns the state after an attempt has read data, which may be the last, from the client. Keeps the data
     /// if all before it is kept and there is room.
     fn state_after(&self, data: &Bytes, is_end: bool, attempt: AttemptNumber) -> UploadState {
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -102,6 +102,9 @@
             headers::single_text(request.headers(), headers::REQUEST_ID).unwrap_or("").into();
         match self.answer(client, request).await {
             Ok(AnsweredRequest { answer, counter, body }) => {
+                if body.has_failed() {
+                    self.driver.record_event(RequestEvent::BodyIncomplete, request_id.as_bytes());
+                }
                 // The rest of a body that is no longer needed is discarded rather than parsed as a request.
                 let must_discard_input = !body.is_read_to_end() || !client.stream.can_read_next_request();
                 client.set_must_discard_input(must_discard_input);
--- a/crates/gateway/src/clients/response.rs
+++ b/crates/gateway/src/clients/response.rs
@@ -95,6 +95,7 @@
         BodyError::Late => RequestEvent::AnswerCutOff,
         BodyError::Read(_)
         | BodyError::Stalled
+        | BodyError::TooSlow
         | BodyError::ClientDisconnected
         | BodyError::AlreadyForwarded
         | BodyError::AttemptEnded => RequestEvent::AnswerBroken,
--- a/crates/gateway/tests/loopback/memory.rs
+++ b/crates/gateway/tests/loopback/memory.rs
@@ -9,11 +9,16 @@
 use crate::rig::endpoint::Endpoint;
 use crate::rig::files::TemporaryFolder;
 use crate::rig::gateway_process::GatewayProcess;
+use crate::rig::message::read_head;
 use crate::rig::request::{
-    idempotent_request, non_idempotent_request, with_framing, with_header_lines, HEALTH_CHECK,
+    idempotent_request, non_idempotent_request, with_framing, with_header_lines, with_id, HEALTH_CHECK,
 };
+use std::io::{Read, Write};
 use std::iter;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// The least memory that a deployment gives a gateway, in megabytes.
 const LEAST_MEMORY_MB: u64 = 32;
@@ -29,6 +34,19 @@
 const OLD_CLIENT_COUNT: usize = 200;
 /// Number of clients for which a process needs most of the memory.
 const LATER_CLIENT_COUNT: usize = 300;
+/// Number of clients that trickle in their bodies, more than memory allows at once.
+const TRICKLING_CLIENT_COUNT: u64 = 140;
+/// Request id of the first of them.
+const FIRST_TRICKLING_ID: u64 = 1 << 32;
+/// Interval at which they send a little.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which they have sent so little that others get their memory: twice what the beginning of their bodies may
+/// take, 2.5 s for each 64 KiB.
+const TRICKLING_TIME: Duration = Duration::from_secs(8);
+/// Length of a body that needs memory.
+const SMALL_BODY_BYTES: usize = 8 << 10;
+/// Number of requests that are sent after [`TRICKLING_TIME`].
+const LATER_REQUEST_COUNT: usize = 20;
 /// Number of servers, among which hundreds of answers at once overload none.
 const SERVER_COUNT: usize = 16;
 /// Length of the longest body that is buffered before it is forwarded.
@@ -219,3 +237,70 @@
         }
     }
 }
+
+/// Guards against clients that trickle in their long bodies and so keep the memory for bodies from all others.
+#[test]
+fn clients_that_trickle_in_their_bodies_leave_memory_to_others() {
+    let servers = (0..SERVER_COUNT).map(|_| start_body_reading_server());
+    let gateway = start_gateway_with_servers(servers);
+    let address = gateway.address;
+    let stop = AtomicBool::new(false);
+    let started_at = Instant::now();
+    thread::scope(|scope| {
+        scope.spawn(|| trickle_until(address, &stop));
+        let mut refused = 0;
+        while started_at.elapsed() < TRICKLING_TIME {
+            refused += usize::from(status_of_request_with_body(address) != 200);
+        }
+        let later: Vec<u16> =
+            (0..LATER_REQUEST_COUNT).map(|_| status_of_request_with_body(address)).collect();
+        stop.store(true, Ordering::SeqCst);
+        assert!(refused > 0, "the clients that trickle do not keep the memory");
+        assert!(later.iter().all(|&status| status == 200), "{later:?}");
+    });
+}
+
+/// Returns the status of the answer to a request with a body that needs memory.
+fn status_of_request_with_body(gateway: SocketAddr) -> u16 {
+    let body = "x".repeat(SMALL_BODY_BYTES);
+    Client::connect(gateway).unwrap().call(&non_idempotent_request(&body)).status()
+}
+
+/// Connects clients that each send the beginning of a long body, and then a little from time to time.
+fn trickle_until(gateway: SocketAddr, stop: &AtomicBool) {
+    let head = with_framing(&non_idempotent_request(""), "Transfer-Encoding: chunked");
+    let beginning = encode_chunk(&vec![b'x'; SHORT_BODY_BYTES + 1]);
+    let mut clients: Vec<Client> = (0..TRICKLING_CLIENT_COUNT)
+        .map(|id| {
+            let mut client = Client::connect(gateway).unwrap();
+            client.write(&with_id(&head, FIRST_TRICKLING_ID + id));
+            client.write_bytes(&beginning);
+            client
+        })
+        .collect();
+    while !stop.load(Ordering::SeqCst) {
+        for client in &mut clients {
+            client.try_write_bytes(&encode_chunk(b"x"));
+        }
+        thread::sleep(TRICKLE_INTERVAL);
+    }
+}
+
+/// Starts a server that answers requests of known length, and reads others for as long as they go on.
+fn start_body_reading_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            thread::spawn(move || {
+                if read_head(&mut stream).to_lowercase().contains("chunked") {
+                    return drop(stream.read_to_end(&mut Vec::new()));
+                }
+                stream.read_exact(&mut [0; SMALL_BODY_BYTES]).unwrap();
+                let response = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(response).unwrap();
+            });
+        }
+    });
+    address
+}
