Accept clients without waiting for each evicted connection's turn

Cause: each connection that was accepted beyond the limit waited until an evicted one had left the table, which its task does in its next turn, after the tasks of all others: one new connection a turn. A trace shows requests lying in the backlog for 0.87 s, 200 accepted a second and each eviction taking a turn of 4 to 30 ms. Class of the fault: a wait for the turns of all connections inside the only task that accepts.

Change: the socket of an evicted connection of which no part of a request has been read closes at once.

--- a/crates/gateway/src/clients/connection_table.rs
+++ b/crates/gateway/src/clients/connection_table.rs
@@ -60,14 +60,21 @@
         self.last_accepted_at.get()
     }
 
-    /// Returns whether more connections are open than allowed.
-    pub fn is_over_limit(&self) -> bool {
-        self.connections.borrow().len() > self.max_connections.get()
+    /// Returns the number of connections in the table beyond the allowed number.
+    pub fn excess(&self) -> usize {
+        self.connections.borrow().len().saturating_sub(self.max_connections.get())
     }
 
-    /// Returns whether a connection that was signalled to close is still open.
-    pub fn has_closing(&self) -> bool {
-        self.connections.borrow().values().any(|connection| connection.is_closing())
+    /// Returns the number of open sockets beyond the allowed number.
+    pub fn excess_sockets(&self) -> usize {
+        let connections = self.connections.borrow();
+        let open = connections.values().filter(|connection| connection.stream.is_open()).count();
+        open.saturating_sub(self.max_connections.get())
+    }
+
+    /// Returns the number of connections that were signalled to close and are still open.
+    pub fn closing(&self) -> usize {
+        self.connections.borrow().values().filter(|connection| connection.is_closing()).count()
     }
 
     /// Waits until a connection closes; returns at once if one has closed since the last wait.
@@ -82,8 +89,9 @@
         }
     }
 
-    /// Signals the idle connection that [`eviction`] selects, if any, to close.
-    pub fn evict_one(&self) {
+    /// Closes the idle connection that [`eviction`] selects. Returns false if there is none. Its descriptor is free at once,
+    /// unless part of a request has been read, and the connection leaves the table when its task gets its turn.
+    pub fn evict_one(&self) -> bool {
         let connections = self.connections.borrow();
         let idle = connections.values().filter(|connection| connection.is_idle() && !connection.is_closing());
         let candidates: Vec<Candidate> = idle.map(|connection| connection.eviction_candidate()).collect();
@@ -93,9 +101,13 @@
         };
         let limit = self.max_connections.get();
         let selected = eviction::select(&candidates, Instant::now(), limit, has_unread_input);
-        if let Some(connection) = selected.and_then(|key| connections.get(&key)) {
-            connection.signal_close();
+        let Some(connection) = selected.and_then(|key| connections.get(&key)) else { return false };
+        connection.signal_close();
+        // The rest of a request may have been read that the connection's task has not seen yet.
+        if connection.stream.request_began_at().is_none() {
+            connection.stream.close();
         }
+        true
     }
 
     /// Closes connections whose idle timeout, or timeout for an incomplete request, has expired. A connection
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -194,6 +194,16 @@
         !input.read_closed && !input.read_ahead_overflowed
     }
 
+    /// Returns whether the connection has not been closed.
+    pub fn is_open(&self) -> bool {
+        self.input.borrow().socket.is_some()
+    }
+
+    /// Closes the connection at once.
+    pub fn close(&self) {
+        self.input.borrow_mut().socket = None;
+    }
+
     /// Closes the connection after discarding remaining input for a limited time.
     pub async fn lingering_close(&self) {
         let socket = self.input.borrow_mut().socket.take();
--- a/crates/gateway/tests/loopback/floods.rs
+++ b/crates/gateway/tests/loopback/floods.rs
@@ -31,6 +31,18 @@
 const PIPELINE_LENGTH: usize = 16;
 /// Number of unsound requests on one connection.
 const UNSOUND_REQUEST_COUNT: usize = 100_000;
+/// Most descriptors of a gateway that has places for 100 clients.
+const FEW_DESCRIPTORS: u32 = 256;
+/// Number of clients that send at full speed beside a crowd.
+const FLOODING_CLIENT_COUNT: usize = 40;
+/// Number of clients that connect at once and send nothing.
+const SILENT_CLIENT_COUNT: usize = 400;
+/// Time for which a client behind them waits for its answer, in milliseconds.
+const PATIENT_CLIENT_TIMEOUT_MS: u64 = 1_000;
+/// Customer of that client.
+const PATIENT_CUSTOMER: u64 = 1;
+/// Time from the end of the client timeout to the latest answer.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Length of the input behind a request that is no request.
 const GARBAGE_BYTES: usize = 64 << 20;
 
@@ -152,3 +164,33 @@
         stream.write_all(&garbage)
     });
 }
+
+/// Guards against clients that wait in the backlog while one connection at a time makes room, each a turn of all others
+/// later.
+#[test]
+fn client_behind_a_crowd_is_answered_in_time_while_others_send_at_full_speed() {
+    let server = Server::healthy();
+    let gateway = Deployment::with_server(&server)
+        .configured_socket_limit(FEW_DESCRIPTORS)
+        .descriptor_limit(FEW_DESCRIPTORS)
+        .token_bucket(SLOW_REFILL_RATE, BURST)
+        .all_deadlines_us(8_000_000)
+        .start();
+    let stop = Arc::new(AtomicBool::new(false));
+    // More units than a full quota has, so that the requests are rejected without an attempt.
+    let requests = vec![idempotent_request().replace("units=2,", "units=20,"); PIPELINE_LENGTH];
+    let flood = move |stream: &mut TcpStream| call_all(stream, &requests);
+    let flooding: Vec<JoinHandle<()>> =
+        (0..FLOODING_CLIENT_COUNT).map(|_| start_flood(gateway.address, &stop, flood.clone())).collect();
+    let _crowd: Vec<Client> = (0..SILENT_CLIENT_COUNT).map(|_| gateway.connect()).collect();
+    let mut client = gateway.connect();
+    let sent_at = Instant::now();
+    let request = for_customer(&idempotent_request(), PATIENT_CUSTOMER);
+    let response = client.call(&with_client_timeout(&request, PATIENT_CLIENT_TIMEOUT_MS));
+    let elapsed = sent_at.elapsed();
+    stop.store(true, Ordering::SeqCst);
+    flooding.into_iter().for_each(|flooding| flooding.join().unwrap());
+    eprintln!("answered after {elapsed:?}");
+    assert_eq!(response.status(), 200, "after {elapsed:?}");
+    assert!(elapsed <= Duration::from_millis(PATIENT_CLIENT_TIMEOUT_MS) + ANSWER_SLACK, "{elapsed:?}");
+}
