Count sockets that discard input among those beyond the limit

Found on reading the change again. And each accepted connection searched the whole table twice, also with places left. Change: such a connection counts as open; the table is searched only beyond the limit, in one function of the table.

--- a/crates/gateway/src/clients/connection_table.rs
+++ b/crates/gateway/src/clients/connection_table.rs
@@ -10,6 +10,11 @@
 use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
 
+/// Maximum number of open sockets beyond the limit, all of which are closing.
+const MAX_EXCESS_SOCKETS: usize = 16;
+/// Maximum number of connections beyond the limit, all of which are closing.
+const MAX_EXCESS_CONNECTIONS: usize = 64;
+
 /// The open client connections.
 pub struct ConnectionTable {
     /// Connections by key.
@@ -60,21 +65,24 @@
         self.last_accepted_at.get()
     }
 
-    /// Returns the number of connections in the table beyond the allowed number.
-    pub fn excess(&self) -> usize {
-        self.connections.borrow().len().saturating_sub(self.max_connections.get())
-    }
-
-    /// Returns the number of open sockets beyond the allowed number.
-    pub fn excess_sockets(&self) -> usize {
-        let connections = self.connections.borrow();
-        let open = connections.values().filter(|connection| connection.stream.is_open()).count();
-        open.saturating_sub(self.max_connections.get())
+    /// Evicts connections beyond the allowed number. Returns whether another one may be accepted before they have ended.
+    pub fn evict_excess(&self) -> bool {
+        let excess = self.connections.borrow().len().saturating_sub(self.max_connections.get());
+        if excess == 0 {
+            return true;
+        }
+        let mut closing = self.count(ClientConnection::is_closing);
+        while closing < excess && self.evict_one() {
+            closing += 1;
+        }
+        let open = self.count(|connection| connection.stream.is_open());
+        let excess_sockets = open.saturating_sub(self.max_connections.get());
+        closing >= excess && excess <= MAX_EXCESS_CONNECTIONS && excess_sockets <= MAX_EXCESS_SOCKETS
     }
 
-    /// Returns the number of connections that were signalled to close and are still open.
-    pub fn closing(&self) -> usize {
-        self.connections.borrow().values().filter(|connection| connection.is_closing()).count()
+    /// Returns the number of connections that satisfy a condition.
+    fn count(&self, condition: impl Fn(&ClientConnection) -> bool) -> usize {
+        self.connections.borrow().values().filter(|connection| condition(connection)).count()
     }
 
     /// Waits until a connection closes; returns at once if one has closed since the last wait.
--- a/crates/gateway/src/clients/server.rs
+++ b/crates/gateway/src/clients/server.rs
@@ -27,10 +27,6 @@
 /// Interval between checks for connections whose timeouts have expired.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Maximum number of open sockets beyond the limit, all of which are closing.
-const MAX_CLOSING_SOCKETS: usize = 16;
-/// Maximum number of connections beyond the limit, all of which are closing.
-const MAX_CLOSING_CONNECTIONS: usize = 64;
 /// Maximum backoff after an error of `accept` while the backlog is emptied before the listener closes.
 const MAX_BACKLOG_BACKOFF: Duration = Duration::from_millis(1);
 
@@ -168,13 +164,7 @@
     /// Evicts connections until no more than allowed are open, but for a few that are closing: a new one need not wait
     /// for the tasks of all others, among which an evicted one gets its turn.
     async fn evict_to_limit(&self) {
-        loop {
-            let excess = self.connections.excess();
-            while self.connections.closing() < excess && self.connections.evict_one() {}
-            let is_closing = excess <= self.connections.closing().min(MAX_CLOSING_CONNECTIONS);
-            if is_closing && self.connections.excess_sockets() <= MAX_CLOSING_SOCKETS {
-                return;
-            }
+        while !self.connections.evict_excess() {
             // A connection that closed earlier may have triggered the notification.
             let _ = timeout(REPEATED_ERROR_BACKOFF, self.connections.connection_closed()).await;
         }
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -59,6 +59,8 @@
     /// Time at which the first byte of the request being read arrived.
     request_began_at: Cell<Option<Instant>>,
     is_responding: Cell<bool>,
+    /// Whether remaining input is being discarded, or has been.
+    is_lingering: Cell<bool>,
     /// Whether [`ClientStream::wait_for_disconnect`] is reading the socket. hyper must not read it meanwhile.
     waiting_for_disconnect: Cell<bool>,
     /// Whether hyper's next read is postponed by one poll. The last read may have completed a request, which
@@ -87,6 +89,7 @@
             input: RefCell::new(input),
             request_began_at: Cell::new(None),
             is_responding: Cell::new(false),
+            is_lingering: Cell::new(false),
             waiting_for_disconnect: Cell::new(false),
             defers_next_read: Cell::new(false),
             requests_since_wait: Cell::new(0),
@@ -194,9 +197,9 @@
         !input.read_closed && !input.read_ahead_overflowed
     }
 
-    /// Returns whether the connection has not been closed.
+    /// Returns whether the connection has a socket, which it keeps while it discards remaining input.
     pub fn is_open(&self) -> bool {
-        self.input.borrow().socket.is_some()
+        self.input.borrow().socket.is_some() || self.is_lingering.get()
     }
 
     /// Closes the connection at once.
@@ -209,6 +212,7 @@
         let socket = self.input.borrow_mut().socket.take();
         let read_closed = self.input.borrow().read_closed;
         if let Some(socket) = socket.filter(|_| !read_closed) {
+            self.is_lingering.set(true);
             linger::lingering_close(socket).await;
         }
     }
--- a/crates/gateway/tests/loopback/floods.rs
+++ b/crates/gateway/tests/loopback/floods.rs
@@ -165,8 +165,7 @@
     });
 }
 
-/// Guards against clients that wait in the backlog while one connection at a time makes room, each a turn of all others
-/// later.
+/// Guards against clients that wait in the backlog while one connection a turn makes room.
 #[test]
 fn client_behind_a_crowd_is_answered_in_time_while_others_send_at_full_speed() {
     let server = Server::healthy();
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -195,8 +195,7 @@
     rig.assert_request_ends_with_its_client();
 }
 
-/// Guards against sound clients that are cut off as clients that send nothing: their machine waited for seconds before
-/// it tried again whether the gateway's had room.
+/// Guards against cutting off clients whose machine waits for room at the gateway's, as if they sent nothing.
 #[test]
 fn clients_whose_machine_waits_for_room_are_not_cut_off() {
     let send = || {
