Accept other processes of an upgrade in one place

The sockets of the hand-over and of the exchange of ids had a loop and a delay each for errors of accept; one function serves both. Two tests of held-back bodies share their three steps. No change of behaviour; the tests keep their assertions.

--- a/crates/gateway/src/lifecycle/id_exchange.rs
+++ b/crates/gateway/src/lifecycle/id_exchange.rs
@@ -20,8 +20,6 @@
 const INITIAL_IDS_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which the ids of the other process are read while no request arrives.
 const RECEIVE_INTERVAL: Duration = Duration::from_millis(50);
-/// Delay after an `accept` error.
-const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns the path of the socket of the gateway that listens at an address, or `None` without `$TMPDIR`.
 fn socket_path(listen: SocketAddr) -> Option<PathBuf> {
@@ -62,10 +60,7 @@
 /// Begins the exchange with each successor that connects. Never returns.
 async fn accept_successors(driver: Rc<DecisionDriver>, listener: UnixListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => begin(&driver, stream),
-            Err(_) => sleep(ACCEPT_ERROR_DELAY).await,
-        }
+        begin(&driver, takeover::accept(&listener).await);
     }
 }
 
--- a/crates/gateway/src/lifecycle/takeover.rs
+++ b/crates/gateway/src/lifecycle/takeover.rs
@@ -24,7 +24,7 @@
 
 /// Timeout for receiving the listener and the state from the predecessor.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Delay after an `accept` error of the control socket.
+/// Delay after an `accept` error of a socket between processes.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(20);
 /// Maximum size of the state that is read.
 const MAX_STATE_BYTES: u64 = 16 << 20;
@@ -114,9 +114,14 @@
 /// Waits for a successor to connect; never completes without a control socket.
 pub async fn accept_successor(control_socket: Option<&UnixListener>) -> ControlConnection {
     let Some(control_socket) = control_socket else { return std::future::pending().await };
+    Socket::new(accept(control_socket).await)
+}
+
+/// Waits for another process to connect. Retries errors.
+pub async fn accept(listener: &UnixListener) -> UnixStream {
     loop {
-        match control_socket.accept().await {
-            Ok((connection, _)) => return Socket::new(connection),
+        match listener.accept().await {
+            Ok((connection, _)) => return connection,
             Err(_) => sleep(ACCEPT_ERROR_DELAY).await,
         }
     }
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -190,6 +190,11 @@
 /// The gateway reads nothing more from the client, but learns from the system that it has closed.
 #[test]
 fn attempt_ends_when_the_client_of_a_held_back_body_disconnects() {
+    assert_end_of_held_back_client_is_seen();
+}
+
+/// Sends a body until it is held back, closes the connection, and asserts that the request ends in time.
+fn assert_end_of_held_back_client_is_seen() {
     let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
     let _hanging = rig.send_until_held_back();
     rig.assert_request_ends_with_its_client();
@@ -198,14 +203,9 @@
 /// Guards against cutting off clients whose machine waits for room at the gateway's, as if they sent nothing.
 #[test]
 fn clients_whose_machine_waits_for_room_are_not_cut_off() {
-    let send = || {
-        let mut rig = HeldBackRig::start(LONG_TIMEOUT_MS);
-        let _hanging = rig.send_until_held_back();
-        rig.assert_request_ends_with_its_client();
-    };
     thread::scope(|scope| {
         for _ in 0..SENDING_CLIENTS {
-            scope.spawn(send);
+            scope.spawn(assert_end_of_held_back_client_is_seen);
         }
     });
 }
