Show that a new process sends to a server that its predecessor knew to drain

Cause: the hand-over carries no states of servers, and the successor begins with an older list while discovery is down.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,9 +3,11 @@
 
 mod body_wait;
 mod ceiling;
+mod departed;
 mod http;
 mod pipeline;
 mod rig;
+mod stale_list;
 mod term_download;
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -32,7 +34,9 @@
         "ceiling" => ceiling::play,
         "body-wait" => body_wait::play,
         "term-download" => term_download::play,
+        "departed" => departed::play,
         "pipeline" => pipeline::play,
+        "stale-list" => stale_list::play,
         _ => |_| Verdict::NotRun,
     };
     // A panic of a stand-in is no verdict.
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -246,6 +246,8 @@
 
 struct AgentState {
     index: u64,
+    /// Whether discovery is down: the agent answers no call.
+    is_silent: bool,
     /// Each server with the version of its last change.
     servers: BTreeMap<String, (u64, Listed)>,
 }
@@ -257,7 +259,10 @@
         let servers = servers.iter().map(|listed| (listed.name.clone(), (41, listed.clone()))).collect();
         let agent = Agent {
             address,
-            state: Arc::new((Mutex::new(AgentState { index: 41, servers }), Condvar::new())),
+            state: Arc::new((
+                Mutex::new(AgentState { index: 41, is_silent: false, servers }),
+                Condvar::new(),
+            )),
         };
         let accepting = agent.clone();
         spawn(move || {
@@ -281,6 +286,29 @@
         format!("{{\"index\":{},\"snapshot\":true,\"endpoints\":[{}]}}", state.index, entries.join(","))
     }
 
+    /// Changes an entry of the list.
+    pub fn change(&self, listed: Listed) {
+        let mut state = self.state.0.lock().unwrap();
+        state.index += 1;
+        let index = state.index;
+        state.servers.insert(listed.name.clone(), (index, listed));
+        self.state.1.notify_all();
+    }
+
+    /// Sets whether discovery is down.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.0.lock().unwrap().is_silent = is_silent;
+        self.state.1.notify_all();
+    }
+
+    /// Waits until discovery is up.
+    fn wait_until_up(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        while state.is_silent {
+            state = self.state.1.wait(state).unwrap();
+        }
+    }
+
     fn changes(&self, since: u64, wait_ms: u64) -> String {
         let end = Instant::now() + Duration::from_millis(wait_ms.min(60_000));
         let mut state = self.state.0.lock().unwrap();
@@ -309,10 +337,13 @@
                     .split('&')
                     .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
             };
-            let body = match number("index") {
-                Some(since) => self.changes(since, number("wait").unwrap_or(0)),
-                None => self.list(),
-            };
+            self.wait_until_up();
+            if let Some(since) = number("index") {
+                self.changes(since, number("wait").unwrap_or(0));
+                self.wait_until_up();
+            }
+            // A watch is answered with what is known once it ends.
+            let body = number("index").map_or_else(|| self.list(), |since| self.changes(since, 0));
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -328,6 +359,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub at: Instant,
+    pub server: String,
     pub id: String,
     pub customer: String,
     pub units: f64,
@@ -373,6 +405,7 @@
                     let customer = request.header("api-customer").unwrap_or("").to_owned();
                     runs.0.lock().unwrap().push(Run {
                         at: Instant::now(),
+                        server: name.clone(),
                         id: id.to_owned(),
                         customer,
                         units,
