Log each close, retry and refusal with the request's id and its reason

Refusals, failures, attempts that end without a whole response and closes of connections wrote nothing, and events of one kind at most a line in 5 s.

Change: the decision core gives the reason with each rejection and failure (AnswerReason); the gateway logs each final answer that is no response, each attempt without a whole response with the bytes and the pause of its server, each retry, each response passed on before it is whole, each error that ends one, and each close of a client's connection.

--- a/crates/core/src/admission/final_answer.rs
+++ b/crates/core/src/admission/final_answer.rs
@@ -1,6 +1,6 @@
 //! Final answers to requests that no server answered, and the end of requests.
 
-use crate::api::{Action, DeduplicationScope, Idempotency, Micros, RequestId};
+use crate::api::{Action, AnswerReason, DeduplicationScope, Idempotency, Micros, RequestId};
 use crate::gateway::Gateway;
 use crate::requests::Request;
 use crate::timer::Timer;
@@ -8,13 +8,19 @@
 impl Gateway {
     /// Gives a request its final answer: a rejection if it is safe to retry, otherwise a failure. No other
     /// function answers an admitted request.
-    pub(crate) fn reject_or_fail(&mut self, id: RequestId, retry_after: Micros, actions: &mut Vec<Action>) {
+    pub(crate) fn reject_or_fail(
+        &mut self,
+        id: RequestId,
+        retry_after: Micros,
+        reason: AnswerReason,
+        actions: &mut Vec<Action>,
+    ) {
         let is_open = |request: &&Request| !request.finished && !request.response_started;
         let Some(request) = self.requests.get(&id).filter(is_open) else { return };
         actions.push(if self.is_safe_to_retry(request) {
-            Action::Reject { id, retry_after: self.capped_retry_after(retry_after) }
+            Action::Reject { id, retry_after: self.capped_retry_after(retry_after), reason }
         } else {
-            Action::Fail { id }
+            Action::Fail { id, reason }
         });
         if self.settings.capabilities.cancellation {
             let in_flight = (0..).zip(&request.attempts).filter(|(_, attempt)| attempt.in_flight);
@@ -71,7 +77,7 @@
     pub(crate) fn expire_request(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let is_due = |request: &Request| !request.body_incomplete && now >= request.deadline;
         if self.requests.get(&id).is_some_and(is_due) {
-            self.reject_or_fail(id, 0, actions);
+            self.reject_or_fail(id, 0, AnswerReason::Deadline, actions);
         }
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -4,7 +4,7 @@
 pub(crate) mod client_timeouts;
 mod final_answer;
 
-use crate::api::{Action, CustomerId, Micros, RequestArrival, RequestId};
+use crate::api::{Action, AnswerReason, CustomerId, Micros, RequestArrival, RequestId};
 use crate::customer::{Customer, UsageSource};
 use crate::gateway::Gateway;
 use crate::requests::Request;
@@ -34,8 +34,13 @@
         }
         let margin = MARGIN_BATCHES * self.settings.batch_interval;
         let time_left = arrival.client_timeout.saturating_sub(arrival.age);
-        if !self.is_valid(arrival) || time_left <= margin {
-            return actions.push(Action::Reject { id: arrival.id, retry_after: None });
+        if !self.is_valid(arrival) {
+            let reason = AnswerReason::Invalid;
+            return actions.push(Action::Reject { id: arrival.id, retry_after: None, reason });
+        }
+        if time_left <= margin {
+            let reason = AnswerReason::NoTimeLeft;
+            return actions.push(Action::Reject { id: arrival.id, retry_after: None, reason });
         }
         let gateway_count = arrival.customer_gateway_count;
         self.ensure_customer(now, arrival.customer, arrival.plan, gateway_count, arrival.first_gateway);
@@ -166,14 +171,14 @@
         let within_quota = customer.is_within_quota(now, units, source);
         if !within_quota && !is_overage_acceptable {
             let retry_after = (customer.seconds_until_available(now, units, source) * 1e6) as Micros;
-            return self.reject_or_fail(id, retry_after, actions);
+            return self.reject_or_fail(id, retry_after, AnswerReason::OverQuota, actions);
         }
         if let Some(request) = self.requests.get_mut(&id) {
             request.within_quota = within_quota;
         }
-        if !self.try_attempt(now, id, actions) {
+        if let Err(reason) = self.try_attempt(now, id, actions) {
             let retry_after = self.settings.classes[class].latency_objective / 2;
-            self.reject_or_fail(id, retry_after, actions);
+            self.reject_or_fail(id, retry_after, reason, actions);
         }
     }
 }
--- a/crates/core/src/api/actions.rs
+++ b/crates/core/src/api/actions.rs
@@ -2,6 +2,49 @@
 
 use super::{CounterId, Micros, RequestId, ServerId, TimerId};
 
+/// Why a request gets a final answer that is not the response of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerReason {
+    /// The request names an unknown class or plan, or an implausible number of units.
+    Invalid,
+    /// The client's time was over, or nearly over, when the request arrived.
+    NoTimeLeft,
+    /// The customer has used up its quota.
+    OverQuota,
+    /// The customer has used up its hard limit.
+    OverHardLimit,
+    /// The back end is overloaded.
+    Overloaded,
+    /// No server may be used.
+    NoServer,
+    /// Every server that may be used is expected to answer after the latency objective.
+    ExpectedLate,
+    /// An attempt failed, and no further one may be made of the request.
+    RetryForbidden,
+    /// An attempt failed, and the retry budget is used up.
+    RetryBudgetExhausted,
+    /// The client's time is over.
+    Deadline,
+}
+
+impl AnswerReason {
+    /// Returns a short name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerReason::Invalid => "invalid",
+            AnswerReason::NoTimeLeft => "no_time_left",
+            AnswerReason::OverQuota => "over_quota",
+            AnswerReason::OverHardLimit => "over_hard_limit",
+            AnswerReason::Overloaded => "overloaded",
+            AnswerReason::NoServer => "no_server",
+            AnswerReason::ExpectedLate => "expected_late",
+            AnswerReason::RetryForbidden => "retry_forbidden",
+            AnswerReason::RetryBudgetExhausted => "retry_budget_exhausted",
+            AnswerReason::Deadline => "deadline",
+        }
+    }
+}
+
 /// An instruction to the decision driver, which carries out actions in the order in which they were emitted.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -20,11 +63,15 @@
         id: RequestId,
         /// Time after which the client should retry, in microseconds; `None` sends no such advice.
         retry_after: Option<Micros>,
+        /// Why the request is rejected.
+        reason: AnswerReason,
     },
     /// Answers the client with a failure (final answer). The request may or may not have taken effect.
     Fail {
         /// The failed request.
         id: RequestId,
+        /// Why no server's response is the answer.
+        reason: AnswerReason,
     },
     /// Cancels an attempt in flight.
     Cancel {
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -7,7 +7,7 @@
 mod ids;
 mod settings;
 
-pub use actions::Action;
+pub use actions::{Action, AnswerReason};
 pub use endpoints::{Endpoint, EndpointCounts, EndpointState, WatchEvent};
 pub use events::{AttemptReport, AttemptStatus, CounterResult, Event, LoadReport, RequestArrival};
 pub use ids::{CounterId, CustomerId, Micros, NonZeroMicros, RequestId, ServerId, TimerId};
--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -2,7 +2,7 @@
 //! leaves the queue and after each attempt that ended without a final answer.
 
 use super::retry_budget::retry_cost;
-use crate::api::{Action, Idempotency, Micros, RequestId, ServerId};
+use crate::api::{Action, AnswerReason, Idempotency, Micros, RequestId, ServerId};
 use crate::balancing::selection::deduplication_site;
 use crate::gateway::Gateway;
 use crate::requests::{Attempt, Request};
@@ -19,34 +19,35 @@
 }
 
 impl Gateway {
-    /// Sends the next attempt of a request. Returns false if no attempt may be sent now. No other function
+    /// Sends the next attempt of a request, or returns the reason why none may be sent now. No other function
     /// sends attempts.
-    pub(crate) fn try_attempt(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        let Some(prepared) = self.prepare_attempt(now, id) else { return false };
-        let is_charged = match prepared.retry_cost {
-            None => self.charge_customer(id),
-            Some(cost) => {
-                self.retry_budget.withdraw(cost);
-                true
-            }
-        };
-        if is_charged {
-            self.send_attempt(now, id, &prepared, actions);
+    pub(crate) fn try_attempt(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), AnswerReason> {
+        let prepared = self.prepare_attempt(now, id)?;
+        match prepared.retry_cost {
+            None => self.charge_customer(id)?,
+            Some(cost) => self.retry_budget.withdraw(cost),
         }
-        is_charged
+        self.send_attempt(now, id, &prepared, actions);
+        Ok(())
     }
 
-    /// Selects the server for the next attempt of a request. Returns `None` if the rules, the retry budget,
-    /// the expected latency or the load of the back end forbid an attempt.
-    fn prepare_attempt(&mut self, now: Micros, id: RequestId) -> Option<PreparedAttempt> {
-        let request = self.requests.get(&id)?;
+    /// Selects the server for the next attempt of a request. Fails if the rules, the retry budget, the expected
+    /// latency or the load of the back end forbid an attempt.
+    fn prepare_attempt(&mut self, now: Micros, id: RequestId) -> Result<PreparedAttempt, AnswerReason> {
+        let request = self.requests.get(&id).ok_or(AnswerReason::RetryForbidden)?;
         if !self.is_attempt_allowed(now, request) {
-            return None;
+            let is_over = now >= request.deadline;
+            return Err(if is_over { AnswerReason::Deadline } else { AnswerReason::RetryForbidden });
         }
         let is_first = request.attempts.is_empty();
         let cost = retry_cost(request.first_attempt_that_may_have_run().is_some());
         if !is_first && !self.retry_budget.allows(cost) {
-            return None;
+            return Err(AnswerReason::RetryBudgetExhausted);
         }
         let class = &self.settings.classes[request.class];
         let objective_us = class.latency_objective as f64;
@@ -54,15 +55,15 @@
         let max_latency_us = if is_first { objective_us } else { objective_left_us };
         let weight = self.request_weight(request);
         let late_weight = weight * class.late_priority_weight;
-        let choice = self.select_server(now, id, !is_first)?;
+        let choice = self.select_server(now, id, !is_first).ok_or(AnswerReason::NoServer)?;
         if choice.expected_latency_us > max_latency_us {
-            return None;
+            return Err(AnswerReason::ExpectedLate);
         }
         let is_expected_late = objective_left_us < choice.expected_latency_us;
         if self.is_overloaded(now, if is_expected_late { late_weight } else { weight }) {
-            return None;
+            return Err(AnswerReason::Overloaded);
         }
-        Some(PreparedAttempt {
+        Ok(PreparedAttempt {
             server: choice.server,
             expected_latency_us: choice.expected_latency_us,
             retry_cost: (!is_first).then_some(cost),
@@ -101,12 +102,13 @@
     }
 
     /// Charges the units of a request to its customer for the first attempt, and deposits in the retry
-    /// budget. Returns false, without a charge, if the units would exceed the hard limit.
-    fn charge_customer(&mut self, id: RequestId) -> bool {
-        let Some(request) = self.requests.get(&id) else { return false };
-        let Some(customer) = self.customers.get_mut(request.customer) else { return false };
+    /// budget. Fails without a charge if the units would exceed the hard limit.
+    fn charge_customer(&mut self, id: RequestId) -> Result<(), AnswerReason> {
+        let over_limit = AnswerReason::OverHardLimit;
+        let request = self.requests.get(&id).ok_or(over_limit)?;
+        let customer = self.customers.get_mut(request.customer).ok_or(over_limit)?;
         if customer.hard_limit.is_exceeded_by(request.units, &customer.plan) {
-            return false;
+            return Err(over_limit);
         }
         customer.hard_limit.take(request.units);
         if request.within_quota {
@@ -114,7 +116,7 @@
             self.changed_customers.insert(request.customer);
         }
         self.retry_budget.deposit();
-        true
+        Ok(())
     }
 
     /// Sends an attempt and records it on its request and on its server.
--- a/crates/core/src/attempts/outcome.rs
+++ b/crates/core/src/attempts/outcome.rs
@@ -65,8 +65,8 @@
         self.servers.update(now, server, |server| record_on_server(server, now, &completed));
         if is_request_finished {
             self.finish_request(id);
-        } else if !self.try_attempt(now, id, actions) {
-            self.reject_or_fail(id, BASE_REJECTION_BACKOFF, actions);
+        } else if let Err(reason) = self.try_attempt(now, id, actions) {
+            self.reject_or_fail(id, BASE_REJECTION_BACKOFF, reason, actions);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -91,10 +91,10 @@
 mod tests;
 
 pub use api::{
-    Action, AttemptReport, AttemptStatus, Capabilities, Class, CounterId, CounterResult, CustomerId,
-    DeduplicationScope, Endpoint, EndpointCounts, EndpointState, Event, Idempotency, LoadReport, LoadReports,
-    Micros, NonZeroMicros, Plan, ProtocolRules, RequestArrival, RequestId, ServerId, Settings, SettingsError,
-    TimerId, WatchEvent,
+    Action, AnswerReason, AttemptReport, AttemptStatus, Capabilities, Class, CounterId, CounterResult,
+    CustomerId, DeduplicationScope, Endpoint, EndpointCounts, EndpointState, Event, Idempotency, LoadReport,
+    LoadReports, Micros, NonZeroMicros, Plan, ProtocolRules, RequestArrival, RequestId, ServerId, Settings,
+    SettingsError, TimerId, WatchEvent,
 };
 pub use gateway::Gateway;
 pub use handover::HandoverError;
--- a/crates/core/tests/event_sequences.rs
+++ b/crates/core/tests/event_sequences.rs
@@ -188,7 +188,7 @@
         match &timed.action {
             Action::Send { id, server, .. } => self.check_and_record_attempt(at, *id, *server),
             Action::Reject { id, .. } => self.check_and_record_answer(at, *id, true),
-            Action::Fail { id } => self.check_and_record_answer(at, *id, false),
+            Action::Fail { id, .. } => self.check_and_record_answer(at, *id, false),
             _ => {}
         }
         self.history.push(timed);
--- a/crates/core/tests/final_answers.rs
+++ b/crates/core/tests/final_answers.rs
@@ -8,7 +8,8 @@
 use common::test_gateway::{TestGateway, TimedAction};
 use common::{MILLISECOND, SECOND};
 use grebehook_core::{
-    Action, AttemptStatus, Event, Idempotency, LoadReport, RequestArrival, RequestId, ServerId, TimerId,
+    Action, AnswerReason, AttemptStatus, Event, Idempotency, LoadReport, RequestArrival, RequestId, ServerId,
+    TimerId,
 };
 
 /// Returns the rejections among the actions.
@@ -175,7 +176,7 @@
         assert!(answers.iter().any(is_answer));
     }
     assert!(
-        answers.contains(&Action::Fail { id: non_idempotent }),
+        answers.contains(&Action::Fail { id: non_idempotent, reason: AnswerReason::Deadline }),
         "a request that may have run is not answered with a failure"
     );
     gateway.now += MILLISECOND;
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -8,8 +8,8 @@
 use common::test_gateway::TestGateway;
 use common::{MILLISECOND, SECOND};
 use grebehook_core::{
-    Action, AttemptStatus, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency, NonZeroMicros,
-    RequestArrival, RequestId, ServerId,
+    Action, AnswerReason, AttemptStatus, DeduplicationScope, Endpoint, EndpointState, Event, Idempotency,
+    NonZeroMicros, RequestArrival, RequestId, ServerId,
 };
 
 /// Idempotency key that the servers of one zone remember together for half a second.
@@ -78,7 +78,9 @@
 fn non_idempotent_request_in_flight_at_its_deadline_fails() {
     let FirstAttempt { mut gateway, id, .. } = FirstAttempt::send(Idempotency::NonIdempotent);
     let timed_actions = gateway.run_until(4 * SECOND);
-    assert!(timed_actions.iter().any(|timed| timed.action == Action::Fail { id }));
+    assert!(timed_actions
+        .iter()
+        .any(|timed| timed.action == Action::Fail { id, reason: AnswerReason::Deadline }));
     assert!(!timed_actions.iter().any(|timed| matches!(timed.action, Action::Reject { .. })));
 }
 
--- a/crates/gateway/src/clients/connection.rs
+++ b/crates/gateway/src/clients/connection.rs
@@ -114,6 +114,11 @@
         !self.request_in_progress.get() && !self.response_streaming.get() && !self.stream.is_responding()
     }
 
+    /// Returns whether a request of the connection has no answer yet.
+    pub fn awaits_answer(&self) -> bool {
+        self.request_in_progress.get()
+    }
+
     /// Returns whether a response is being delivered: part of it is still expected from its server or has not been
     /// written, or the end of a long one may not have reached the client's system, and a close over unread input would
     /// drop it.
--- a/crates/gateway/src/clients/connection_table.rs
+++ b/crates/gateway/src/clients/connection_table.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::connection::ClientConnection;
 use crate::clients::eviction::{self, Candidate};
+use crate::network::line_limiter::LineLimiter;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -9,12 +10,26 @@
 use tokio::net::TcpStream;
 use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
+use tracing::info;
 
 /// Maximum number of open sockets beyond the limit, all of which are closing.
 const MAX_EXCESS_SOCKETS: usize = 16;
 /// Maximum number of connections beyond the limit, all of which are closing.
 const MAX_EXCESS_CONNECTIONS: usize = 64;
 
+/// Why the gateway closes a client's connection.
+#[derive(Clone, Copy, Debug)]
+enum CloseReason {
+    /// Another connection needs its place.
+    Evicted,
+    /// It was idle, its request did not arrive, or its client has stopped reading, for too long.
+    Expired,
+    /// The process ends, and the connection is idle.
+    Shutdown,
+    /// The time for answers is over, and no response is being delivered.
+    ExitDeadline,
+}
+
 /// The open client connections.
 pub struct ConnectionTable {
     /// Connections by key.
@@ -25,6 +40,7 @@
     last_accepted_at: Cell<Instant>,
     /// Notified when a connection has been closed.
     connection_closed: Notify,
+    log_limiter: LineLimiter,
 }
 
 impl ConnectionTable {
@@ -36,6 +52,7 @@
             max_connections: Cell::new(max_connections),
             last_accepted_at: Cell::new(Instant::now()),
             connection_closed: Notify::new(),
+            log_limiter: LineLimiter::default(),
         }
     }
 
@@ -115,6 +132,7 @@
         let limit = self.max_connections.get();
         let selected = eviction::select(&candidates, Instant::now(), limit, has_unread_input);
         let Some(connection) = selected.and_then(|key| connections.get(&key)) else { return false };
+        self.log_close(connection, CloseReason::Evicted);
         connection.signal_close();
         // The rest of a request may have been read that the connection's task has not seen yet.
         if connection.stream.request_began_at().is_none() {
@@ -130,6 +148,7 @@
         for connection in self.connections.borrow().values().filter(|connection| connection.is_expired(now)) {
             let stream = &connection.stream;
             if stream.request_began_at().is_some() || !stream.has_unread_input() {
+                self.log_close(connection, CloseReason::Expired);
                 connection.signal_close();
             }
         }
@@ -139,6 +158,7 @@
     pub fn close_idle(&self) {
         for connection in self.connections.borrow().values() {
             if connection.is_idle() && !connection.has_incoming_request() {
+                self.log_close(connection, CloseReason::Shutdown);
                 connection.signal_close();
             }
         }
@@ -148,11 +168,26 @@
     pub fn abort_undelivering(&self) {
         for connection in self.connections.borrow().values() {
             if !connection.is_delivering() {
+                self.log_close(connection, CloseReason::ExitDeadline);
                 connection.signal_abort();
             }
         }
     }
 
+    /// Logs why a connection is closed, with what was under way on it.
+    fn log_close(&self, connection: &ClientConnection, reason: CloseReason) {
+        let Some(suppressed) = self.log_limiter.admit(Instant::now()) else { return };
+        info!(
+            client = %connection.stream.peer_text(),
+            ?reason,
+            mid_request = connection.stream.request_began_at().is_some(),
+            awaits_answer = connection.awaits_answer(),
+            responding = connection.stream.is_responding(),
+            suppressed,
+            "a client's connection is closed"
+        );
+    }
+
     /// Closes all connections after their current request, and idle ones at once.
     pub fn drain(&self) {
         for connection in self.connections.borrow().values() {
--- a/crates/gateway/src/clients/response.rs
+++ b/crates/gateway/src/clients/response.rs
@@ -64,7 +64,7 @@
         let chunk = ready!(self.content.poll_chunk(cx));
         if let (Some(Err(error)), Some(counter)) = (&chunk, &self.request_counter) {
             counter.set_outcome(RequestOutcome::Failed);
-            counter.record_event(event_of(error), self.request_id.as_bytes());
+            counter.record_event(event_of(error), self.request_id.as_bytes(), Some(error));
         }
         if self.content.is_complete() {
             self.request_counter.take();
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -118,6 +118,13 @@
         self.last_read_at.get()
     }
 
+    /// Returns the client's address as text.
+    pub fn peer_text(&self) -> String {
+        let input = self.input.borrow();
+        let address = input.socket.as_ref().and_then(|socket| socket.get_ref().peer_addr().ok());
+        address.map_or_else(|| "closed".to_owned(), |address| address.to_string())
+    }
+
     /// Returns the headers that define the length of the current request's body, or `None` if its head was
     /// not found.
     pub fn framing(&self) -> Option<Framing> {
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -16,10 +16,12 @@
 use crate::driver::timers::{Timer, TimerQueue};
 use crate::operations::request_counts::RequestCounters;
 use crate::operations::request_events::RequestEvent;
+use crate::operations::request_log::RequestLog;
 use crate::servers::exchange::Upstream;
 use crate::servers::health_check::HealthCheckResult;
 use grebehook_core::{
-    Action, AttemptStatus, CounterId, CounterResult, Event, Gateway, Micros, ServerId, WatchEvent,
+    Action, AnswerReason, AttemptStatus, CounterId, CounterResult, Event, Gateway, Micros, RequestId,
+    ServerId, WatchEvent,
 };
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -69,6 +71,7 @@
     /// Counters of requests and attempts.
     request_counters: Rc<RequestCounters>,
     log: DecisionLog,
+    request_log: RequestLog,
 }
 
 impl DecisionDriver {
@@ -96,6 +99,7 @@
             transports,
             request_counters,
             log: DecisionLog::default(),
+            request_log: RequestLog::default(),
         })
     }
 
@@ -191,7 +195,7 @@
 
     /// Records an event at a request that has not been submitted.
     pub fn record_event(&self, event: RequestEvent, client_request_id: &[u8]) {
-        self.request_counters.events.record(event, client_request_id);
+        self.request_counters.events.record(event, client_request_id, None);
     }
 
     /// Returns the metrics as text for operators.
@@ -235,10 +239,14 @@
     fn perform(self: &Rc<Self>, state: &mut DriverState, now: Micros, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.start_attempt(state, now, id, server, timeout),
-            Action::Reject { id, retry_after } => {
+            Action::Reject { id, retry_after, reason } => {
+                self.log_answer(state, id, "is rejected", reason);
                 state.requests.answer(now, id, Answer::Rejected(retry_after));
             }
-            Action::Fail { id } => state.requests.answer(now, id, Answer::Failed),
+            Action::Fail { id, reason } => {
+                self.log_answer(state, id, "fails", reason);
+                state.requests.answer(now, id, Answer::Failed);
+            }
             Action::Cancel { id, attempt } => {
                 self.abort_if_in_flight(state, id, attempt, AttemptStatus::Cancelled);
             }
@@ -252,6 +260,14 @@
         }
     }
 
+    /// Logs a final answer that is not a server's response.
+    fn log_answer(&self, state: &DriverState, id: RequestId, answer: &str, reason: AnswerReason) {
+        if let Some(request) = state.requests.get(id).filter(|request| request.answer.is_some()) {
+            let client_request_id = request.client_request_id.as_bytes();
+            self.request_log.log_answer(client_request_id, answer, reason, request.attempts);
+        }
+    }
+
     /// Sends a health check and reports its result as an event.
     fn check_health(self: &Rc<Self>, server: ServerId) {
         let driver = self.clone();
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -1,9 +1,11 @@
 //! Starts, completes and aborts the attempts of requests.
 
 use super::{DecisionDriver, DriverState};
-use crate::driver::pending_request::InFlightAttempt;
+use crate::bodies::download::ResponseContent;
+use crate::driver::pending_request::{InFlightAttempt, PendingRequest};
 use crate::driver::request::Answer;
 use crate::driver::timers::Timer;
+use crate::operations::request_log::AttemptEnd;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptOutcome, OutgoingRequest};
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId, ServerId};
 use std::rc::Rc;
@@ -33,15 +35,13 @@
                 state.id_exchange.send(now, &recent);
             }
         }
+        self.log_retry(request, attempt, server);
         let deadline = request.attempt_deadline(now, Some(timeout).filter(|timeout| *timeout > 0));
         let connection = Rc::new(AttemptConnection::default());
         if let Some(shutdown_deadline) = shutdown_deadline {
             connection.set_shutdown_deadline(self.clock.instant_at(shutdown_deadline));
         }
-        let deadlines = AttemptDeadlines {
-            send_deadline: self.clock.instant_at(request.send_deadline(deadline)),
-            response_deadline: self.clock.instant_at(deadline),
-        };
+        let deadlines = self.attempt_deadlines(request, deadline);
         let exchange =
             self.clone().send_attempt(server, connection.clone(), request.outgoing.clone(), deadlines);
         let driver = self.clone();
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Returns the deadlines of an attempt that times out at `deadline`.
+    fn attempt_deadlines(&self, request: &PendingRequest, deadline: Micros) -> AttemptDeadlines {
+        AttemptDeadlines {
+            send_deadline: self.clock.instant_at(request.send_deadline(deadline)),
+            response_deadline: self.clock.instant_at(deadline),
+        }
+    }
+
     /// Sends an attempt to a server and reads its response. The attempt is counted once its request has been
     /// written completely.
     async fn send_attempt(
@@ -81,6 +89,10 @@
         }
         request.record_run(&ended, outcome.status);
         if let Some(served) = outcome.response.take() {
+            if let ResponseContent::Streamed(_) = served.body() {
+                let progress = ended.connection.response_progress().unwrap_or_default();
+                self.request_log.log_passed_on(request.client_request_id.as_bytes(), progress);
+            }
             state.requests.answer(self.clock.now(), id, Answer::Served(served));
         }
         self.record_attempt_end(&mut state, id, &ended, outcome);
@@ -130,13 +142,45 @@
     ) {
         let now = self.clock.now();
         let elapsed = now.saturating_sub(ended.sent_at);
-        let request = state.requests.get_mut(id);
-        if request.is_some_and(|request| request.record_attempt_end(ended, outcome.status)) {
-            state.events.push_back(Event::BodyConsumed { id });
+        if let Some(request) = state.requests.get_mut(id) {
+            if outcome.status != AttemptStatus::Ok {
+                self.log_attempt_end(request, ended, outcome.status, elapsed);
+            }
+            if request.record_attempt_end(ended, outcome.status) {
+                state.events.push_back(Event::BodyConsumed { id });
+            }
         }
         let request_finished = !state.requests.is_unanswered(id);
         let event = outcome.into_event(id, ended.attempt, ended.server, elapsed, request_finished);
         state.events.push_back(event);
         state.requests.remove_if_finished(now, id);
     }
+
+    /// Logs an attempt that is not the first one of its request.
+    fn log_retry(&self, request: &PendingRequest, attempt: u32, server: ServerId) {
+        if attempt > 0 {
+            let address = self.transports.upstream.pool.address(server);
+            self.request_log.log_retry(request.client_request_id.as_bytes(), attempt, address);
+        }
+    }
+
+    /// Logs the end of an attempt that has no whole response.
+    fn log_attempt_end(
+        &self,
+        request: &PendingRequest,
+        ended: &InFlightAttempt,
+        status: AttemptStatus,
+        elapsed: Micros,
+    ) {
+        self.request_log.log_attempt_end(&AttemptEnd {
+            client_request_id: request.client_request_id.as_bytes(),
+            attempt: ended.attempt,
+            server: self.transports.upstream.pool.address(ended.server),
+            status,
+            elapsed,
+            request_written: ended.connection.request_written(),
+            body_taken: request.outgoing.body.taken(),
+            response: ended.connection.response_progress(),
+        });
+    }
 }
--- a/crates/gateway/src/operations/mod.rs
+++ b/crates/gateway/src/operations/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod request_counts;
 pub mod request_events;
+pub mod request_log;
 pub mod server;
--- a/crates/gateway/src/operations/request_counts.rs
+++ b/crates/gateway/src/operations/request_counts.rs
@@ -3,6 +3,7 @@
 use crate::operations::request_events::{RequestEvent, RequestEvents};
 use grebehook_core::EndpointCounts;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::fmt::Write;
 use std::rc::Rc;
 
@@ -87,9 +88,9 @@
 }
 
 impl RequestCounterGuard {
-    /// Records an event at the request.
-    pub fn record_event(&self, event: RequestEvent, id: &[u8]) {
-        self.counters.events.record(event, id);
+    /// Records an event at the request, with its cause if that is known.
+    pub fn record_event(&self, event: RequestEvent, id: &[u8], cause: Option<&dyn Error>) {
+        self.counters.events.record(event, id, cause);
     }
 
     /// Sets the outcome that is counted when the guard is dropped.
--- a/crates/gateway/src/operations/request_events.rs
+++ b/crates/gateway/src/operations/request_events.rs
@@ -1,8 +1,10 @@
 //! Events by which requests end without the answer of a server, or with a part of one: a count of each kind for the
 //! metrics, and a rate-limited log line with the request's id.
 
-use crate::network::repeat_limiter::RepeatLimiter;
+use crate::logging::ErrorChain;
+use crate::network::line_limiter::LineLimiter;
 use std::cell::Cell;
+use std::error::Error;
 use std::fmt::Write;
 use std::time::Instant;
 use tracing::warn;
@@ -41,37 +43,34 @@
     (RequestEvent::AnswerBroken, "answer_broken", "an answer ended before it was whole"),
 ];
 
-/// The count and the rate limit of one kind of event.
-#[derive(Default)]
-struct EventRecord {
-    count: Cell<u64>,
-    log_limiter: RepeatLimiter,
-}
-
 /// The events since the start of the process.
 #[derive(Default)]
 pub struct RequestEvents {
-    /// Records in the order of [`EVENTS`].
-    records: [EventRecord; EVENTS.len()],
+    /// Counts in the order of [`EVENTS`].
+    counts: [Cell<u64>; EVENTS.len()],
+    log_limiter: LineLimiter,
 }
 
 impl RequestEvents {
-    /// Counts an event, and logs it unless one of its kind has just been logged.
-    pub fn record(&self, event: RequestEvent, id: &[u8]) {
-        let record = &self.records[event as usize];
-        record.count.set(record.count.get() + 1);
-        let Some(suppressed) = record.log_limiter.admit(Instant::now()) else { return };
+    /// Counts an event, and logs it with its cause, if that is known, unless there are too many lines.
+    pub fn record(&self, event: RequestEvent, id: &[u8], cause: Option<&dyn Error>) {
+        let count = &self.counts[event as usize];
+        count.set(count.get() + 1);
+        let Some(suppressed) = self.log_limiter.admit(Instant::now()) else { return };
         let (_, _, message) = EVENTS[event as usize];
         let id = String::from_utf8_lossy(id);
-        warn!(%id, suppressed, "{message}");
+        match cause {
+            Some(cause) => warn!(%id, reason = %ErrorChain(cause), suppressed, "{message}"),
+            None => warn!(%id, suppressed, "{message}"),
+        }
     }
 
     /// Returns the counts in the text form of the metrics.
     pub fn metrics_text(&self) -> String {
         let mut text = String::new();
-        for ((_, kind, _), record) in EVENTS.iter().zip(&self.records) {
+        for ((_, kind, _), count) in EVENTS.iter().zip(&self.counts) {
             // Writing to a string cannot fail.
-            let _ = writeln!(text, "gateway_events{{kind=\"{kind}\"}} {}", record.count.get());
+            let _ = writeln!(text, "gateway_events{{kind=\"{kind}\"}} {}", count.get());
         }
         text
     }
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -3,6 +3,7 @@
 use crate::bodies::download::ResponseContent;
 use crate::bodies::late_answer::ClientDeadline;
 use crate::bodies::upload::Upload;
+use crate::operations::request_log::ResponseProgress;
 use crate::servers::connection::ServerConnection;
 use grebehook_core::{AttemptReport, AttemptStatus, Event, LoadReport, Micros, RequestId, ServerId};
 use hyper::{HeaderMap, Method, Response, Uri};
@@ -178,6 +179,11 @@
         self.connection.borrow().as_ref().is_some_and(|connection| connection.request_written())
     }
 
+    /// Returns what has come of the response; `None` while the connection is being established.
+    pub fn response_progress(&self) -> Option<ResponseProgress> {
+        self.connection.borrow().as_ref().map(|connection| connection.response_progress())
+    }
+
     /// Closes the attempt's connection, if it has one.
     pub fn close(&self) {
         if let Some(connection) = self.connection.borrow().as_ref() {
--- a/crates/gateway/src/servers/connection.rs
+++ b/crates/gateway/src/servers/connection.rs
@@ -2,6 +2,7 @@
 //! request has been written completely.
 
 use crate::network::socket::Socket;
+use crate::operations::request_log::ResponseProgress;
 use crate::servers::request_progress::RequestProgress;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -144,6 +145,11 @@
         self.last_read_at.get().elapsed()
     }
 
+    /// Returns what has come of the response to the current request.
+    pub fn response_progress(&self) -> ResponseProgress {
+        ResponseProgress { bytes_read: self.progress.get().bytes_read(), pause: self.time_since_read() }
+    }
+
     /// Returns whether the connection is open and has no unread input, as reported by the operating system.
     pub fn has_no_unread_input(&self) -> bool {
         self.socket.borrow().as_ref().is_some_and(|open_socket| open_socket.socket.has_no_unread_input())
--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -146,6 +146,11 @@
         self.servers.borrow().get(&server).is_some_and(PooledServer::is_ready)
     }
 
+    /// Returns the address of a listed server.
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.servers.borrow().get(&server).map(|pooled| pooled.process.address)
+    }
+
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         for server in self.servers.borrow_mut().values_mut() {
--- a/crates/gateway/src/servers/request_progress.rs
+++ b/crates/gateway/src/servers/request_progress.rs
@@ -93,6 +93,11 @@
         self.response_head_received = true;
     }
 
+    /// Returns the number of bytes read since the request began.
+    pub fn bytes_read(&self) -> usize {
+        self.bytes_read
+    }
+
     /// Returns whether any byte of the request has been written.
     pub fn has_started(&self) -> bool {
         self.started
--- a/crates/scale-laboratory/src/hollow/simulation.rs
+++ b/crates/scale-laboratory/src/hollow/simulation.rs
@@ -230,7 +230,7 @@
         match action {
             Action::Send { id, server, timeout } => self.send_attempt(incarnation, id, server, timeout),
             Action::Reject { id, .. } => self.respond(incarnation, id, Outcome::Rejected),
-            Action::Fail { id } => self.respond(incarnation, id, Outcome::Failed),
+            Action::Fail { id, .. } => self.respond(incarnation, id, Outcome::Failed),
             Action::Cancel { id, attempt } => self.cancel_attempt(incarnation, id, attempt),
             Action::Timer { at, timer } => {
                 self.queue.push(at.max(self.now), SimulationEvent::TimerFired { incarnation, timer });
--- a/crates/simulator-adapter/src/actions.rs
+++ b/crates/simulator-adapter/src/actions.rs
@@ -16,12 +16,12 @@
             names.record_attempt_started(*id);
             message
         }
-        Action::Reject { id, retry_after } => {
+        Action::Reject { id, retry_after, .. } => {
             let message = json!(["shed", instance_id, request_name(*id)?, retry_after.unwrap_or(0)]);
             names.record_request_finished(*id);
             message
         }
-        Action::Fail { id } => {
+        Action::Fail { id, .. } => {
             let message = json!(["reportFailure", instance_id, request_name(*id)?]);
             names.record_request_finished(*id);
             message
