End a broken response only after its beginning has been flushed

Cause: hyper drops what it has not written when a body fails. An answer that was passed on and broke in the same turn took its head with it, so the client could not tell it from a lost request.

The new test of a long answer that breaks at once failed before: 'the client gets an answer'.

Change: ResponseBody keeps the error until ClientStream has flushed what was passed to hyper.

The framings of the tests' servers stand in one place now.

--- a/crates/gateway/src/clients/response.rs
+++ b/crates/gateway/src/clients/response.rs
@@ -36,12 +36,20 @@
     request_id: Box<str>,
     /// The client connection, if the response is streamed.
     streaming_to: Option<Rc<ClientConnection>>,
+    /// The error that ends the body, until what was written before it has been flushed.
+    failure: Option<BodyError>,
 }
 
 impl ResponseBody {
     /// Creates the body of a response to a request that is not counted.
     fn new(content: ResponseContent) -> ResponseBody {
-        ResponseBody { content, request_counter: None, request_id: Box::default(), streaming_to: None }
+        ResponseBody {
+            content,
+            request_counter: None,
+            request_id: Box::default(),
+            streaming_to: None,
+            failure: None,
+        }
     }
 
     /// Marks the client connection as streaming until this body is dropped, if the body is streamed.
@@ -51,6 +59,40 @@
             self.streaming_to = Some(client.clone());
         }
     }
+
+    /// Polls for the next chunk of the content. An error ends the content, and frees what it holds.
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        let chunk = ready!(self.content.poll_chunk(cx));
+        if let Some(Err(error)) = &chunk {
+            if let Some(counter) = &self.request_counter {
+                counter.set_outcome(RequestOutcome::Failed);
+                counter.record_event(event_of(error), self.request_id.as_bytes(), Some(error));
+            }
+        }
+        if let (Some(Ok(_)), Some(client)) = (&chunk, &self.streaming_to) {
+            client.stream.expect_flush();
+        }
+        match chunk.transpose() {
+            Ok(data) => Poll::Ready(data),
+            Err(error) => {
+                self.failure = Some(error);
+                self.content = ResponseContent::Buffered(BufferedContent::default());
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    /// Polls for the time to report the error that ends the body. hyper drops what it has not written by then, and the
+    /// client needs the beginning of the response to tell that it is not whole.
+    fn poll_failure(&mut self, error: BodyError, cx: &mut Context<'_>) -> Poll<BodyError> {
+        let is_flushed =
+            self.streaming_to.as_ref().is_none_or(|client| client.stream.poll_flushed(cx).is_ready());
+        if is_flushed {
+            return Poll::Ready(error);
+        }
+        self.failure = Some(error);
+        Poll::Pending
+    }
 }
 
 impl Body for ResponseBody {
@@ -61,19 +103,19 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let chunk = ready!(self.content.poll_chunk(cx));
-        if let (Some(Err(error)), Some(counter)) = (&chunk, &self.request_counter) {
-            counter.set_outcome(RequestOutcome::Failed);
-            counter.record_event(event_of(error), self.request_id.as_bytes(), Some(error));
-        }
+        let chunk = if self.failure.is_some() { None } else { ready!(self.poll_chunk(cx)) };
         if self.content.is_complete() {
             self.request_counter.take();
         }
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+        if let Some(error) = self.failure.take() {
+            let error = ready!(self.poll_failure(error, cx));
+            return Poll::Ready(Some(Err(error)));
+        }
+        Poll::Ready(chunk.map(|data| Ok(Frame::data(data))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.content.is_complete()
+        self.content.is_complete() && self.failure.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/gateway/src/clients/stream.rs
+++ b/crates/gateway/src/clients/stream.rs
@@ -69,6 +69,8 @@
     defers_next_read: Cell<bool>,
     /// Number of requests that have been read since the client's input was last waited for.
     requests_since_wait: Cell<u32>,
+    /// Woken once all that has been written of a response is flushed.
+    flush_waker: Cell<Option<Waker>>,
     /// Time at which part of a response was last written, or a response began.
     last_written_at: Cell<Instant>,
     /// Time at which bytes were last received, or the connection was accepted.
@@ -93,6 +95,7 @@
             waiting_for_disconnect: Cell::new(false),
             defers_next_read: Cell::new(false),
             requests_since_wait: Cell::new(0),
+            flush_waker: Cell::default(),
             last_written_at: Cell::new(Instant::now()),
             last_read_at: Cell::new(Instant::now()),
         })
@@ -108,6 +111,28 @@
         self.is_responding.get()
     }
 
+    /// Records that more of the response has been passed to hyper, which writes and flushes it.
+    pub fn expect_flush(&self) {
+        self.is_responding.set(true);
+    }
+
+    /// Polls for the end of writing what has been passed to hyper so far.
+    pub fn poll_flushed(&self, cx: &Context<'_>) -> Poll<()> {
+        if !self.is_responding.get() {
+            return Poll::Ready(());
+        }
+        self.flush_waker.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// Records that hyper has flushed all that was passed to it.
+    fn record_flushed(&self) {
+        self.is_responding.set(false);
+        if let Some(waker) = self.flush_waker.take() {
+            waker.wake();
+        }
+    }
+
     /// Returns the time at which part of a response was last written, or a response began.
     pub fn last_written_at(&self) -> Instant {
         self.last_written_at.get()
--- a/crates/gateway/src/clients/stream/transport.rs
+++ b/crates/gateway/src/clients/stream/transport.rs
@@ -49,7 +49,7 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let result = self.0.poll_socket(|socket| socket.poll_flush(cx));
         if result.is_ready() {
-            self.0.is_responding.set(false);
+            self.0.record_flushed();
         }
         result
     }
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests that run the gateway as a process against scripted peers on loopback sockets.
 
+mod broken_answers;
 mod client_disconnects;
 mod clients;
 mod counter;
@@ -13,6 +14,7 @@
 mod memory;
 mod memory_waits;
 mod ops;
+mod pausing_answers;
 mod rig;
 mod servers;
 mod shutdown_deliveries;
--- a/crates/gateway/tests/loopback/shutdown_deliveries.rs
+++ b/crates/gateway/tests/loopback/shutdown_deliveries.rs
@@ -2,17 +2,18 @@
 //! later, so the process goes on with them, and with nothing else.
 
 use crate::rig::accept::accept;
-use crate::rig::chunks::{encode_chunk, read_chunk};
+use crate::rig::chunks::read_chunk;
 use crate::rig::client::{operator_get, Client};
 use crate::rig::deployment::Deployment;
 use crate::rig::files::TemporaryFolder;
+use crate::rig::framing::Framing;
 use crate::rig::gateway_process::GatewayProcess;
 use crate::rig::message::{pattern, read_head};
 use crate::rig::request::{
     idempotent_request, non_idempotent_request, with_client_timeout, with_framing, HEALTH_CHECK,
 };
 use std::io::Write;
-use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -47,44 +48,6 @@
 /// Part of the log line at the end of the time for answers.
 const EXIT_DEADLINE_REACHED: &str = "exit deadline reached";
 
-/// How a server frames the body of its response.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    /// The end of the connection ends the body.
-    Close,
-}
-
-impl Framing {
-    /// Returns the head of a response.
-    fn head(self) -> String {
-        let line = match self {
-            Framing::Length(length) => format!("Content-Length: {length}"),
-            Framing::Chunked => "Transfer-Encoding: chunked".to_owned(),
-            Framing::Close => "Connection: close".to_owned(),
-        };
-        format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n")
-    }
-
-    /// Returns a piece of the body in the form in which it is written.
-    fn encode(self, piece: &[u8]) -> Vec<u8> {
-        match self {
-            Framing::Chunked => encode_chunk(piece),
-            Framing::Length(_) | Framing::Close => piece.to_vec(),
-        }
-    }
-
-    /// Ends the body.
-    fn end(self, server: &mut TcpStream) {
-        match self {
-            Framing::Chunked => server.write_all(b"0\r\n\r\n").unwrap(),
-            Framing::Close => server.shutdown(Shutdown::Write).unwrap(),
-            Framing::Length(_) => {}
-        }
-    }
-}
-
 /// Returns a deployment of one server.
 fn deployment(server: &TcpListener) -> Deployment {
     Deployment::with_endpoint(server.local_addr().unwrap())
@@ -164,7 +127,7 @@
         gateway.terminate();
         gateway.wait_for_log(EXIT_DEADLINE_REACHED);
         assert!(server.write_all(&framing.encode(rest)).is_ok(), "{framing:?}: the server was cut off");
-        framing.end(&mut server);
+        framing.end(&mut server).unwrap();
         assert!(reader.join().unwrap() == body, "{framing:?}: the response differs from the server's");
         assert!(gateway.wait().success());
     }
@@ -198,7 +161,7 @@
                 }
                 thread::sleep(SLOW_PIECE_INTERVAL);
             }
-            framing.end(&mut server);
+            framing.end(&mut server).unwrap();
         });
         let body = read_body(&mut client, framing, SLOW_RESPONSE_BYTES);
         assert!(body == pattern(SLOW_RESPONSE_BYTES), "{framing:?}: {} bytes", body.len());
--- a/crates/gateway/tests/loopback/slow_answers.rs
+++ b/crates/gateway/tests/loopback/slow_answers.rs
@@ -4,6 +4,7 @@
 use crate::rig::accept::accept;
 use crate::rig::chunks::{encode_chunk, read_chunk};
 use crate::rig::deployment::Deployment;
+use crate::rig::framing::Framing;
 use crate::rig::message::{pattern, read_head};
 use crate::rig::request::{idempotent_request, non_idempotent_request, with_client_timeout};
 use crate::rig::server::{Reply, Server};
@@ -27,32 +28,6 @@
 /// Bytes a second that a slow server writes.
 const SLOW_SERVER_RATE: usize = 100_000;
 
-/// How a server ends the body of an answer.
-#[derive(Clone, Copy, PartialEq)]
-enum Framing {
-    Chunked,
-    /// The end of the connection ends the body.
-    Close,
-}
-
-impl Framing {
-    /// Returns the head of an answer.
-    fn head(self) -> &'static str {
-        match self {
-            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-            Framing::Close => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
-        }
-    }
-
-    /// Returns a piece of the body in the form in which it is written.
-    fn encode(self, piece: &[u8]) -> Vec<u8> {
-        match self {
-            Framing::Chunked => encode_chunk(piece),
-            Framing::Close => piece.to_vec(),
-        }
-    }
-}
-
 /// A client whose request has been sent, and the server's connection with its answer's head written.
 struct SlowAnswer {
     server: TcpStream,
@@ -116,9 +91,7 @@
             server.write_all(&piece)?;
             thread::sleep(interval);
         }
-        if framing == Framing::Chunked {
-            server.write_all(b"0\r\n\r\n")?;
-        }
+        framing.end(&mut server)?;
         server.shutdown(std::net::Shutdown::Write)
     });
     let (status, elapsed) = answer.read_status();
