Wait for long responses that have begun, whatever their servers' pauses

Cause: a pause of 100 or 450 ms decided that a server hangs, and 32 kB/s that it is slow. And an answer whose head came just before that time was passed on at once, before anything showed what it is.

Change: a response whose server is writing (4 KiB, 450 ms) is passed on before the client's time, as before. Any other that has begun is waited for up to 300 ms longer (Event::ResponseLate extends the request's deadline and rules out retries): if it ends, goes on or breaks by then, that decides; else it is passed on if it is long by its length, or of unknown length with nothing but the head or at least 4 KiB, and given up if it stopped after less. What has been passed on ends only after a pause of 5 s (15 s once it is long), counted from the server's last byte. An attempt whose server is writing is no longer timed out for a retry. A long response of known length is passed on with its first bytes, so that one that breaks before them can be retried.

--- a/crates/core/src/admission/final_answer.rs
+++ b/crates/core/src/admission/final_answer.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Extends the deadline of a request whose response has begun to arrive, at most until the end of this process.
+    pub(crate) fn await_late_response(&mut self, id: RequestId, deadline: Micros, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.response_late = true;
+        request.deadline = deadline.max(request.deadline).min(self.shutdown_deadline);
+        actions.push(Action::Timer { at: request.deadline, timer: Timer::RequestDeadline(id).into() });
+    }
+
     /// Answers a request whose deadline has passed. The deadline does not apply while part of the body is
     /// still to be received.
     pub(crate) fn expire_request(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/core/src/api/events.rs
+++ b/crates/core/src/api/events.rs
@@ -128,6 +128,14 @@
         /// The request that is answered.
         id: RequestId,
     },
+    /// The response to a request has begun to arrive, and is not whole when the client's time is nearly over. It is
+    /// waited for until the deadline, and no further attempt follows.
+    ResponseLate {
+        /// The request that is answered.
+        id: RequestId,
+        /// Time by which the request must have its final answer.
+        deadline: Micros,
+    },
     /// The rest of the request's body arrived and was forwarded to the attempt in flight, whose time counts
     /// from that arrival.
     BodyComplete {
--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -41,7 +41,7 @@
     fn prepare_attempt(&mut self, now: Micros, id: RequestId) -> Result<PreparedAttempt, AnswerReason> {
         let request = self.requests.get(&id).ok_or(AnswerReason::RetryForbidden)?;
         if !self.is_attempt_allowed(now, request) {
-            let is_over = now >= request.deadline;
+            let is_over = request.response_late || now >= request.deadline;
             return Err(if is_over { AnswerReason::Deadline } else { AnswerReason::RetryForbidden });
         }
         let is_first = request.attempts.is_empty();
@@ -84,6 +84,7 @@
         may_repeat
             && is_open
             && !request.body_consumed
+            && !request.response_late
             && !request.has_attempt_in_flight()
             && request.attempts.len() < self.max_attempts()
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -132,6 +132,7 @@
             Event::ResponseStarted { id } => {
                 self.update_request(id, |request| request.response_started = true);
             }
+            Event::ResponseLate { id, deadline } => self.await_late_response(id, deadline, actions),
             Event::AttemptCompleted(report) => self.attempt_completed(now, &report, actions),
             Event::Shutdown { deadline } => self.begin_shutdown(deadline, actions),
             Event::ClientDisconnected { id } => self.finish_request(id),
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -47,6 +47,8 @@
     pub within_quota: bool,
     /// Whether the response has begun to stream.
     pub response_started: bool,
+    /// Whether the response is waited for beyond the client's time, which rules out further attempts.
+    pub response_late: bool,
     /// Whether part of the body was forwarded without being buffered, which rules out further attempts.
     pub body_consumed: bool,
     /// Whether part of the body has not been forwarded yet, so that the client timeout has not begun.
--- a/crates/gateway/src/bodies/download.rs
+++ b/crates/gateway/src/bodies/download.rs
@@ -2,18 +2,22 @@
 
 use crate::bodies::block_buffer::{split_block, BlockBuffer};
 use crate::bodies::error::BodyError;
-use crate::bodies::late_answer::{AnswerProgress, ClientDeadline, LateAnswerLimit};
+use crate::bodies::late_answer::{may_be_long, ClientDeadline, LateAnswerLimit};
 use crate::bodies::memory::Reservation;
+use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
 use crate::bodies::stall::StallTimeoutBody;
 use crate::servers::connection::ServerConnection;
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Maximum time without data from a server.
+/// Maximum time without data from a server in a long body.
 const STALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum time without data from a server in a body that has not become long yet. A connection to a server that hangs is
+/// kept for no longer.
+const UNCERTAIN_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The body of a response.
 pub enum ResponseContent {
@@ -76,8 +80,6 @@
     pub remainder: Incoming,
     /// Length of the whole body, where it is known.
     pub length: Option<u64>,
-    /// Time at which the head of the response was received.
-    pub head_received_at: Instant,
 }
 
 /// A streamed response body. If it is dropped before its end, the connection to the server is closed.
@@ -96,9 +98,7 @@
     length: Option<u64>,
     /// Number of bytes of the body that the server has sent.
     received: u64,
-    /// Time for which the server was waited for before streaming began.
-    waited_before: Duration,
-    /// Ends the body if it is late and does not go on.
+    /// Ends a short body that is late.
     late_limit: LateAnswerLimit,
     /// The memory of the prefix.
     reservation: Option<Reservation>,
@@ -113,12 +113,14 @@
         client_deadline: ClientDeadline,
         on_complete: Box<dyn FnOnce()>,
     ) -> Box<Download> {
+        let received = beginning.buffered.len() as u64;
+        let stall_timeout = stall_timeout(beginning.length, received);
+        let pause = connection.time_since_read();
         Box::new(Download {
-            received: beginning.buffered.len() as u64,
-            waited_before: beginning.head_received_at.elapsed(),
+            received,
             buffered: beginning.buffered,
             frame: Bytes::new(),
-            remainder: StallTimeoutBody::new(beginning.remainder, STALL_TIMEOUT),
+            remainder: StallTimeoutBody::paused(beginning.remainder, stall_timeout, pause),
             connection,
             on_complete: Some(on_complete),
             length: beginning.length,
@@ -141,8 +143,8 @@
                 Poll::Ready(Ok(frame)) => frame,
                 Poll::Ready(Err(error)) => return Poll::Ready(Some(Err(error))),
                 Poll::Pending => {
-                    let progress = self.progress();
-                    ready!(self.late_limit.poll_end(progress, cx));
+                    let may_be_long = may_be_long(self.length, self.received);
+                    ready!(self.late_limit.poll_end(may_be_long, cx));
                     return Poll::Ready(Some(Err(BodyError::Late)));
                 }
             };
@@ -154,6 +156,7 @@
             match frame.map(Frame::into_data) {
                 Some(Ok(data)) => {
                     self.received += data.len() as u64;
+                    self.remainder.set_stall_timeout(stall_timeout(self.length, self.received));
                     self.frame = data;
                     return Poll::Ready(Some(Ok(split_block(&mut self.frame))));
                 }
@@ -164,16 +167,6 @@
         }
     }
 
-    /// Returns how far the server has come with the body.
-    fn progress(&self) -> AnswerProgress {
-        AnswerProgress {
-            length: self.length,
-            received: self.received,
-            waited: self.waited_before + self.remainder.waited(),
-            pause: self.connection.time_since_read(),
-        }
-    }
-
     /// Calls `on_complete` when the whole body has arrived; further calls have no effect.
     fn complete(&mut self) {
         if let Some(on_complete) = self.on_complete.take() {
@@ -193,6 +186,17 @@
     }
 }
 
+/// Returns the maximum time without data from a server in a body of this length, if that is known, of which so much has
+/// been received.
+fn stall_timeout(length: Option<u64>, received: u64) -> Duration {
+    let is_long = length.unwrap_or(received) > MAX_BUFFERED_BODY_BYTES as u64;
+    if is_long {
+        STALL_TIMEOUT
+    } else {
+        UNCERTAIN_STALL_TIMEOUT
+    }
+}
+
 impl Drop for Download {
     fn drop(&mut self) {
         if self.on_complete.is_some() {
--- a/crates/gateway/src/bodies/prefix_buffer.rs
+++ b/crates/gateway/src/bodies/prefix_buffer.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.data.len()
+    }
+
     /// Appends data that has been read. Returns whether more may be read: neither the limit of the buffer has been
     /// exceeded nor the memory.
     pub fn append(&mut self, data: &[u8]) -> bool {
--- a/crates/gateway/src/bodies/stall.rs
+++ b/crates/gateway/src/bodies/stall.rs
@@ -39,6 +39,21 @@
         }
     }
 
+    /// Wraps a body whose sender has sent nothing for some time, which counts as waited for.
+    pub fn paused(body: Incoming, stall_timeout: Duration, pause: Duration) -> StallTimeoutBody {
+        let left = stall_timeout.saturating_sub(pause);
+        StallTimeoutBody {
+            stall_timer: Box::pin(sleep(left)),
+            awaits_sender: true,
+            ..StallTimeoutBody::new(body, stall_timeout)
+        }
+    }
+
+    /// Changes the maximum time without data from the sender, from the next wait for it on.
+    pub fn set_stall_timeout(&mut self, stall_timeout: Duration) {
+        self.stall_timeout = stall_timeout;
+    }
+
     /// Returns whether all data that the sender has sent so far has been taken and more is being waited for.
     pub fn awaits_sender(&self) -> bool {
         self.awaits_sender
--- a/crates/gateway/src/clients/request_handler.rs
+++ b/crates/gateway/src/clients/request_handler.rs
@@ -24,7 +24,6 @@
 use hyper::header::{HeaderMap, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -192,7 +191,7 @@
         let memory = memory.ok_or(RequestError::NoMemoryForBody)?;
         let deadline = client.request_deadline().into();
         let spare_memory = self.body_memory.spare();
-        let beginning = timeout_at(deadline, read_beginning(body, &spare_memory, pending())).await;
+        let beginning = timeout_at(deadline, read_beginning(body, &spare_memory)).await;
         let beginning = beginning.ok().and_then(Result::ok).ok_or(RequestError::BodyIncomplete)?;
         let stream = client.stream.clone();
         let client_has_disconnected = move || stream.has_disconnected();
--- a/crates/gateway/src/driver/decision_driver/attempts.rs
+++ b/crates/gateway/src/driver/decision_driver/attempts.rs
@@ -8,7 +8,12 @@
 use crate::operations::request_log::AttemptEnd;
 use crate::servers::attempt::{AttemptConnection, AttemptDeadlines, AttemptOutcome, OutgoingRequest};
 use grebehook_core::{AttemptStatus, Event, Micros, RequestId, ServerId};
+use std::future::Future;
 use std::rc::Rc;
+use tokio::task::AbortHandle;
+
+/// Time after the client timeout by which the driver ends a request whose response it waited for, in microseconds.
+const LATE_RESPONSE_TIME: Micros = 350_000;
 
 impl DecisionDriver {
     /// Starts an attempt that times out after `timeout`, or at the request's deadline if `timeout` is 0.
@@ -44,17 +49,35 @@
         let deadlines = self.attempt_deadlines(request, deadline);
         let exchange =
             self.clone().send_attempt(server, connection.clone(), request.outgoing.clone(), deadlines);
+        let task = self.spawn_attempt(id, attempt, &connection, exchange);
+        request.in_flight =
+            Some(InFlightAttempt { attempt, server, sent_at: now, deadline, connection, task });
+        if !request.outgoing.body.is_incomplete() {
+            request.set_response_deadline(&self.clock, deadline);
+            self.arm(state, deadline, Timer::AttemptTimeout { id, attempt });
+        }
+    }
+
+    /// Carries out an attempt in a task of its own, which reports its end.
+    fn spawn_attempt(
+        self: &Rc<Self>,
+        id: RequestId,
+        attempt: u32,
+        connection: &AttemptConnection,
+        exchange: impl Future<Output = AttemptOutcome> + 'static,
+    ) -> AbortHandle {
+        let late_driver = Rc::downgrade(self);
+        connection.on_late(move || {
+            if let Some(driver) = late_driver.upgrade() {
+                driver.handle_late_response(id, attempt);
+            }
+        });
         let driver = self.clone();
         let task = tokio::task::spawn_local(async move {
             let outcome = exchange.await;
             driver.handle_attempt_end(id, attempt, outcome);
         });
-        let task = task.abort_handle();
-        request.in_flight = Some(InFlightAttempt { attempt, server, sent_at: now, connection, task });
-        if !request.outgoing.body.is_incomplete() {
-            request.set_response_deadline(&self.clock, deadline);
-            self.arm(state, deadline, Timer::AttemptTimeout { id, attempt });
-        }
+        task.abort_handle()
     }
 
     /// Returns the deadlines of an attempt that times out at `deadline`.
@@ -111,6 +134,35 @@
         }
     }
 
+    /// Waits beyond the client timeout for a response that has begun to arrive.
+    fn handle_late_response(self: &Rc<Self>, id: RequestId, attempt: u32) {
+        let mut state = self.state.borrow_mut();
+        if !state.requests.is_in_flight(id, attempt) || !state.requests.is_unanswered(id) {
+            return;
+        }
+        let shutdown_deadline = state.requests.shutdown_deadline().unwrap_or(Micros::MAX);
+        let Some(request) = state.requests.get_mut(id) else { return };
+        let deadline = request.deadline.saturating_add(LATE_RESPONSE_TIME).min(shutdown_deadline);
+        request.extend_deadlines(deadline);
+        self.arm(&mut state, deadline, Timer::AttemptTimeout { id, attempt });
+        self.arm(&mut state, deadline, Timer::RequestDeadline(id));
+        state.events.push_back(Event::ResponseLate { id, deadline });
+        self.process_events(&mut state);
+    }
+
+    /// Aborts an attempt that has timed out, unless its timeout has been extended.
+    pub(super) fn expire_attempt(&self, state: &mut DriverState, id: RequestId, attempt: u32) {
+        if !state.requests.is_in_flight(id, attempt) {
+            return;
+        }
+        let now = self.clock.now();
+        let later = state.requests.get(id).and_then(|request| request.attempt_timeout_after(now));
+        match later {
+            Some(at) => self.arm(state, at, Timer::AttemptTimeout { id, attempt }),
+            None => self.abort_attempt(state, id, AttemptStatus::Timeout),
+        }
+    }
+
     /// Aborts an attempt if it is still the one in flight.
     pub(super) fn abort_if_in_flight(
         &self,
--- a/crates/gateway/src/driver/decision_driver/timer_loop.rs
+++ b/crates/gateway/src/driver/decision_driver/timer_loop.rs
@@ -2,7 +2,7 @@
 
 use super::{DecisionDriver, DriverState};
 use crate::driver::timers::Timer;
-use grebehook_core::{AttemptStatus, Event, Micros};
+use grebehook_core::{Event, Micros};
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::time::sleep_until;
@@ -44,7 +44,7 @@
         match timer {
             Timer::Decision(timer) => state.events.push_back(Event::Timer { timer }),
             Timer::AttemptTimeout { id, attempt } => {
-                self.abort_if_in_flight(state, id, attempt, AttemptStatus::Timeout);
+                self.expire_attempt(state, id, attempt);
             }
             Timer::RequestDeadline(id) => self.expire_request(state, id),
             Timer::CloseExpiredServerConnections => {
--- a/crates/gateway/src/driver/pending_request.rs
+++ b/crates/gateway/src/driver/pending_request.rs
@@ -9,9 +9,14 @@
 use grebehook_core::{AttemptStatus, Micros, ServerId};
 use hyper::header::HeaderValue;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+/// Longest pause in which a server counts as still writing its response where another server could be tried instead.
+const MAX_PAUSE_BEFORE_RETRY: Duration = Duration::from_millis(100);
+/// Interval between two checks whether a server is still writing its response, in microseconds.
+const WRITE_CHECK_INTERVAL: Micros = 50_000;
 /// Maximum time for which a body is held back without any progress, in microseconds.
 const MAX_HELD_BACK_TIME: Micros = 15_000_000;
 
@@ -46,6 +51,8 @@
     pub server: ServerId,
     /// Time at which the attempt was sent.
     pub sent_at: Micros,
+    /// Time at which the attempt times out.
+    pub deadline: Micros,
     /// Connection of the attempt, which is shared with `task` so that the driver can close it.
     pub connection: Rc<AttemptConnection>,
     /// Handle of the task that carries out the attempt.
@@ -220,11 +227,31 @@
     }
 
     /// Sets the time by which the attempt in flight must have its response.
-    pub fn set_response_deadline(&self, clock: &Clock, attempt_deadline: Micros) {
-        if let Some(in_flight) = &self.in_flight {
-            let client_deadline = clock.instant_at(self.deadline);
-            in_flight.connection.set_deadlines(clock.instant_at(attempt_deadline), client_deadline);
+    pub fn set_response_deadline(&mut self, clock: &Clock, attempt_deadline: Micros) {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.deadline = attempt_deadline;
+            in_flight.connection.set_client_deadline(clock.instant_at(self.deadline));
+        }
+    }
+
+    /// Extends the deadlines of the request and of its attempt in flight, whose response has begun to arrive.
+    pub fn extend_deadlines(&mut self, deadline: Micros) {
+        self.deadline = deadline;
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.deadline = deadline;
+        }
+    }
+
+    /// Returns until when the attempt in flight is not timed out at `now`: its timeout has been extended, or its server
+    /// is writing the response and there is time. `None` if it has timed out.
+    pub fn attempt_timeout_after(&self, now: Micros) -> Option<Micros> {
+        let in_flight = self.in_flight.as_ref()?;
+        if now < in_flight.deadline {
+            return Some(in_flight.deadline);
         }
+        let is_arriving =
+            now < self.deadline && in_flight.connection.is_response_arriving(MAX_PAUSE_BEFORE_RETRY);
+        is_arriving.then(|| self.deadline.min(now + WRITE_CHECK_INTERVAL))
     }
 
     /// Restarts the timeouts of the request and of its attempt in flight, once the last part of a streamed
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -13,11 +13,14 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
-/// Longest time before the timeout of an attempt at which the response that is still arriving is passed on. The client
-/// has to receive its beginning by then, also from a process that waited for a core.
+/// Longest time before the client timeout at which a response that is still arriving is passed on. The client has to
+/// receive its beginning by then, also from a process that waited for a core.
 const MAX_PASS_ON_MARGIN: Duration = Duration::from_millis(50);
 /// Divisor of the time of an attempt that gives the margin of a short one.
 const PASS_ON_MARGIN_DIVISOR: u32 = 4;
+/// Time after the client timeout until which a response that has begun to arrive is waited for. A final answer may come
+/// half a second late, also from a process that waited for a core.
+const LATE_RESPONSE_WAIT: Duration = Duration::from_millis(300);
 /// Interval between checks for the deadline of an attempt whose request is still arriving.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -99,24 +102,30 @@
 #[derive(Default)]
 pub struct AttemptConnection {
     connection: RefCell<Option<Rc<ServerConnection>>>,
-    /// Time at which the attempt times out; `None` while the client's time has not begun.
-    attempt_deadline: Cell<Option<Instant>>,
     /// Time until which the client waits.
     client_deadline: ClientDeadline,
     /// Time by which every request must have its answer because the process ends; `None` until a shutdown begins.
     shutdown_deadline: Cell<Option<Instant>>,
-    /// Time at which a response that is still arriving is passed on; `None` while the client's time has not begun.
-    pass_on_at: Cell<Option<Instant>>,
-    /// Notified when `pass_on_at` changes.
-    pass_on_changed: Notify,
-    /// Whether the attempt times out so long before the client does that another one may follow.
-    leaves_time_for_retry: Cell<bool>,
+    /// When a response that is not whole is passed on; `None` while the client's time has not begun.
+    pass_on_times: Cell<Option<PassOnTimes>>,
+    /// Notified when `pass_on_times` changes.
+    times_changed: Notify,
+    /// Called, once, when the response has begun to arrive and is waited for beyond the client timeout.
+    on_late: RefCell<Option<Box<dyn FnOnce()>>>,
+}
+
+/// When a response that is still arriving is passed on.
+#[derive(Clone, Copy)]
+struct PassOnTimes {
+    /// Time at which a response is passed on that its server is writing.
+    due: Instant,
+    /// Time by which any other response is passed on or given up.
+    latest: Instant,
 }
 
 impl AttemptConnection {
-    /// Sets the time at which the attempt times out, and until which the client waits.
-    pub fn set_deadlines(&self, attempt_deadline: Instant, client_deadline: Instant) {
-        self.attempt_deadline.set(Some(attempt_deadline));
+    /// Sets the time until which the client waits.
+    pub fn set_client_deadline(&self, client_deadline: Instant) {
         self.client_deadline.set(Some(client_deadline));
         self.schedule_pass_on();
     }
@@ -127,23 +136,33 @@
         self.schedule_pass_on();
     }
 
+    /// Sets the function to call when the response is waited for beyond the client timeout.
+    pub fn on_late(&self, callback: impl FnOnce() + 'static) {
+        self.on_late.replace(Some(Box::new(callback)));
+    }
+
+    /// Reports that the response is waited for beyond the client timeout.
+    pub fn notify_late(&self) {
+        let callback = self.on_late.borrow_mut().take();
+        if let Some(callback) = callback {
+            callback();
+        }
+    }
+
     /// Computes when a response that is still arriving is passed on.
     fn schedule_pass_on(&self) {
-        let Some(attempt_deadline) = self.attempt_deadline.get() else { return };
         let Some(client_deadline) = self.client_deadline.get() else { return };
-        let before_shutdown = |at: Instant| self.shutdown_deadline.get().map_or(at, |end| at.min(end));
-        let last_chance = before_shutdown(attempt_deadline);
-        let remaining = last_chance.saturating_duration_since(Instant::now());
-        let margin = MAX_PASS_ON_MARGIN.min(remaining / PASS_ON_MARGIN_DIVISOR);
-        self.pass_on_at.set(Some(last_chance - margin));
-        let time_after = before_shutdown(client_deadline).saturating_duration_since(last_chance);
-        self.leaves_time_for_retry.set(time_after > MAX_PASS_ON_MARGIN);
-        self.pass_on_changed.notify_one();
-    }
-
-    /// Returns whether the attempt times out so long before the client does that another one may follow.
-    pub fn leaves_time_for_retry(&self) -> bool {
-        self.leaves_time_for_retry.get()
+        let now = Instant::now();
+        let just_before = |end: Instant| {
+            let remaining = end.saturating_duration_since(now);
+            end - MAX_PASS_ON_MARGIN.min(remaining / PASS_ON_MARGIN_DIVISOR)
+        };
+        let before_shutdown =
+            |at: Instant| self.shutdown_deadline.get().map_or(at, |end| at.min(just_before(end)));
+        let due = before_shutdown(just_before(client_deadline));
+        let latest = before_shutdown(client_deadline + LATE_RESPONSE_WAIT);
+        self.pass_on_times.set(Some(PassOnTimes { due, latest }));
+        self.times_changed.notify_one();
     }
 
     /// Returns the time until which the client waits, as it changes.
@@ -151,16 +170,26 @@
         self.client_deadline.clone()
     }
 
-    /// Waits until the response that is still arriving has to be passed on to its client.
+    /// Waits until a response has to be passed on that its server is writing.
     pub async fn pass_on_due(&self) {
+        self.wait_until(|times| times.due).await;
+    }
+
+    /// Waits until any response has to be passed on or given up.
+    pub async fn latest_pass_on(&self) {
+        self.wait_until(|times| times.latest).await;
+    }
+
+    /// Waits until one of the times, which may change meanwhile.
+    async fn wait_until(&self, time: impl Fn(PassOnTimes) -> Instant) {
         loop {
-            let due = self.pass_on_at.get();
-            if due.is_some_and(|due| due <= Instant::now()) {
+            let at = self.pass_on_times.get().map(&time);
+            if at.is_some_and(|at| at <= Instant::now()) {
                 return;
             }
-            let check_at = due.unwrap_or(Instant::now() + DEADLINE_CHECK_INTERVAL);
+            let check_at = at.unwrap_or(Instant::now() + DEADLINE_CHECK_INTERVAL);
             // The time is looked at again whether it has come or has changed.
-            let _ = timeout_at(check_at.into(), self.pass_on_changed.notified()).await;
+            let _ = timeout_at(check_at.into(), self.times_changed.notified()).await;
         }
     }
 
@@ -179,6 +208,12 @@
         self.connection.borrow().as_ref().is_some_and(|connection| connection.request_written())
     }
 
+    /// Returns whether the server has begun a response and has written part of it within `max_pause`.
+    pub fn is_response_arriving(&self, max_pause: Duration) -> bool {
+        let progress = self.response_progress();
+        progress.is_some_and(|progress| progress.bytes_read > 0 && progress.pause < max_pause)
+    }
+
     /// Returns what has come of the response; `None` while the connection is being established.
     pub fn response_progress(&self) -> Option<ResponseProgress> {
         self.connection.borrow().as_ref().map(|connection| connection.response_progress())
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -1,8 +1,8 @@
 //! The exchange of an attempt: sends the request over a pooled connection and reads its response.
 
-use crate::bodies::buffering::{discard_short_body, read_beginning, PartiallyReadBody};
+use crate::bodies::buffering::{discard_short_body, BodyReader, PartiallyReadBody, ReadEnd};
 use crate::bodies::download::{BufferedContent, Download, ReceivedBeginning, ResponseContent};
-use crate::bodies::late_answer::MAX_WRITE_PAUSE;
+use crate::bodies::late_answer::{may_be_long, MIN_LONG_ANSWER_BYTES};
 use crate::bodies::memory::BodyMemory;
 use crate::bodies::request_body::RequestBody;
 use crate::bodies::size::MAX_BUFFERED_BODY_BYTES;
@@ -25,8 +25,8 @@
 /// bodies than they accept.
 const MAX_RESPONSE_BODY_BYTES: u64 = 64 << 20;
 
-/// Longest pause in which a server counts as still writing its response where another server could be tried instead.
-const MAX_PAUSE_BEFORE_RETRY: Duration = Duration::from_millis(100);
+/// Longest pause in which a server counts as still writing its response when the client's time is nearly over.
+const MAX_WRITE_PAUSE: Duration = Duration::from_millis(450);
 
 /// Sends attempts over the connections of a pool.
 pub struct Upstream {
@@ -58,6 +58,8 @@
     Complete(BufferedContent),
     /// The beginning of a body that is forwarded as it arrives.
     Beginning(ReceivedBeginning),
+    /// The same, of a body of which nothing or nothing more had arrived when its client's time was over.
+    Late(ReceivedBeginning),
 }
 
 impl Upstream {
@@ -138,55 +140,48 @@
         };
         pooled.connection.record_response_head();
         let (head, body) = response.into_parts();
-        let Some(body) = self.read_response_body(attempt, &pooled.connection, &head, body).await else {
-            pooled.connection.close();
-            return Ok(AttemptOutcome::without_response(AttemptStatus::ConnectionReset));
-        };
-        Ok(self.evaluate_response(attempt, pooled, head, body))
+        match self.read_response_body(attempt, &pooled.connection, &head, body).await {
+            Ok(body) => Ok(self.evaluate_response(attempt, pooled, head, body)),
+            Err(status) => {
+                pooled.connection.close();
+                Ok(AttemptOutcome::without_response(status))
+            }
+        }
     }
 
     /// Reads the body of a response, or the beginning of one that is long, finds no memory, or is still arriving when
-    /// the client must receive something. Returns `None` if the response is not valid.
+    /// the client must receive something. Fails with the status of the attempt if the response is not valid or not whole
+    /// in time.
     async fn read_response_body(
         &self,
         attempt: &Attempt<'_>,
         connection: &ServerConnection,
         head: &response::Parts,
         body: Incoming,
-    ) -> Option<ReceivedBody> {
+    ) -> Result<ReceivedBody, AttemptStatus> {
         let is_ok = head.status == StatusCode::OK;
         // An interim response and a successful response whose end cannot be determined are not valid.
         if head.status.is_informational() || is_ok && !headers::has_unambiguous_body_end(&head.headers) {
-            return None;
+            return Err(AttemptStatus::ConnectionReset);
         }
         let length = body.size_hint().exact();
         if length.is_some_and(|length| length > MAX_RESPONSE_BODY_BYTES) {
-            return None;
+            return Err(AttemptStatus::ConnectionReset);
         }
         if !is_ok {
             // Only successful responses are forwarded to the client.
-            let is_short = discard_short_body(body).await.ok()?;
-            return is_short.then(|| ReceivedBody::Complete(BufferedContent::default()));
+            let is_short = discard_short_body(body).await.unwrap_or(false);
+            let body = is_short.then(|| ReceivedBody::Complete(BufferedContent::default()));
+            return body.ok_or(AttemptStatus::ConnectionReset);
         }
-        let head_received_at = Instant::now();
-        let is_known_long = length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
-        let body = if is_known_long {
-            PartiallyReadBody::unread(body)
-        } else {
-            let stop = attempt.pass_on_due(connection, length);
-            read_beginning(body, &self.body_memory, stop).await.ok()?
+        let mut reader = BodyReader::new(body, &self.body_memory);
+        let is_late = attempt.read_in_time(connection, &mut reader, length).await?;
+        let PartiallyReadBody { buffered, reservation, remainder } = reader.into_beginning();
+        let Some(remainder) = remainder else {
+            return Ok(ReceivedBody::Complete(BufferedContent::new(buffered, reservation)));
         };
-        let PartiallyReadBody { buffered, reservation, remainder } = body;
-        Some(match remainder {
-            None => ReceivedBody::Complete(BufferedContent::new(buffered, reservation)),
-            Some(remainder) => ReceivedBody::Beginning(ReceivedBeginning {
-                buffered,
-                reservation,
-                remainder,
-                length,
-                head_received_at,
-            }),
-        })
+        let beginning = ReceivedBeginning { buffered, reservation, remainder, length };
+        Ok(if is_late { ReceivedBody::Late(beginning) } else { ReceivedBody::Beginning(beginning) })
     }
 
     /// Evaluates a response. Returns its connection to the pool once the response body is complete, or closes
@@ -200,6 +195,8 @@
     ) -> AttemptOutcome {
         let server = attempt.server;
         let status = classify_response(&head);
+        let is_ok = status == AttemptStatus::Ok;
+        let is_late = matches!(body, ReceivedBody::Late(_));
         let reported_usage = headers::reported_usage(&head.headers);
         let load_report = headers::load_report(head.headers.get(headers::LOAD_REPORT));
         let settled_units = headers::settled_units(&head.headers, self.max_units);
@@ -217,15 +214,14 @@
                 release_connection();
                 ResponseContent::Buffered(content)
             }
-            ReceivedBody::Beginning(beginning) => {
+            ReceivedBody::Beginning(beginning) | ReceivedBody::Late(beginning) => {
                 let client_deadline = attempt.connection.client_deadline();
                 let on_complete = Box::new(release_connection);
                 ResponseContent::Streamed(Download::new(beginning, connection, client_deadline, on_complete))
             }
         };
-        let is_ok = status == AttemptStatus::Ok;
         AttemptOutcome {
-            status,
+            status: if is_late { AttemptStatus::Timeout } else { status },
             reported_usage,
             settled_units: settled_units.filter(|_| is_ok),
             load_report,
@@ -244,18 +240,38 @@
         }
     }
 
-    /// Waits until a response that is still arriving has to be passed on to its client: just before the attempt times
-    /// out, if the response may be a long one and its server is still writing it. Otherwise, never completes.
-    async fn pass_on_due(&self, connection: &ServerConnection, length: Option<u64>) {
-        if length.is_none() {
-            self.connection.pass_on_due().await;
-            let may_be_retried = self.connection.leaves_time_for_retry();
-            let max_pause = if may_be_retried { MAX_PAUSE_BEFORE_RETRY } else { MAX_WRITE_PAUSE };
-            if connection.time_since_read() < max_pause {
-                return;
-            }
+    /// Reads a response until it is whole, or has to be passed on. Returns whether its server had not begun it or had
+    /// paused in it when the client's time was over. Fails if the response is broken, or is a short one that is not whole in
+    /// time.
+    async fn read_in_time(
+        &self,
+        connection: &ServerConnection,
+        reader: &mut BodyReader<'_>,
+        length: Option<u64>,
+    ) -> Result<bool, AttemptStatus> {
+        if length.is_some_and(|length| length <= MAX_BUFFERED_BODY_BYTES as u64) {
+            return reader
+                .read(MAX_BUFFERED_BODY_BYTES + 1, pending())
+                .await
+                .map(|_| false)
+                .map_err(read_error);
         }
-        pending::<()>().await;
+        let is_known_long = length.is_some();
+        let enough = if is_known_long { 1 } else { MAX_BUFFERED_BODY_BYTES + 1 };
+        let end = reader.read(enough, self.connection.pass_on_due()).await.map_err(read_error)?;
+        let is_writing =
+            reader.received() >= MIN_LONG_ANSWER_BYTES && connection.time_since_read() < MAX_WRITE_PAUSE;
+        if end != ReadEnd::Stopped || is_writing {
+            return Ok(false);
+        }
+        self.connection.notify_late();
+        let enough = if is_known_long { 1 } else { MIN_LONG_ANSWER_BYTES };
+        let end = reader.read(enough, self.connection.latest_pass_on()).await.map_err(read_error)?;
+        if end != ReadEnd::Stopped {
+            return Ok(false);
+        }
+        let may_be_long = may_be_long(length, reader.received() as u64);
+        may_be_long.then_some(true).ok_or(AttemptStatus::Timeout)
     }
 
     /// Builds the request for a connection, including the header with the forwarded timeout.
@@ -291,6 +307,11 @@
     }
 }
 
+/// Returns the status of an attempt whose response cannot be read.
+fn read_error(_error: hyper::Error) -> AttemptStatus {
+    AttemptStatus::ConnectionReset
+}
+
 /// Returns the status of an attempt that received a response.
 fn classify_response(head: &response::Parts) -> AttemptStatus {
     match head.status {
