Wait for long bodies of known length that their clients cannot have written yet

What callers saw: 429 one client timeout after the first bytes of a large request, while the client was still writing it and a slow server still took it (the log: 'a request's body was not taken by a server in time').

Cause: a server that holds a body back makes its newest byte count as the last one.

The new test failed before (429).

Change: the earliest time of the last byte's writing counts (ArrivalHistory::earliest_write takes the body's length). A server that takes nothing for 5 s of a body that is not written yet is given up. Bodies of unknown length are refused as before, since any byte may be their last.

--- a/crates/gateway/src/driver/arrival_history.rs
+++ b/crates/gateway/src/driver/arrival_history.rs
@@ -68,13 +68,13 @@
         }
     }
 
-    /// Returns the earliest time at which the client can have written the newest of `arrived` bytes; `None` if it was
-    /// not kept from sending, so that it wrote the byte just before that arrived.
-    pub fn earliest_write(&self, arrived: u64) -> Option<Micros> {
+    /// Returns the earliest time at which the client can have written the last of `bytes` bytes, of which not all need to
+    /// have arrived; `None` if it was not kept from sending, so that it wrote the newest byte just before that arrived.
+    pub fn earliest_write(&self, bytes: u64) -> Option<Micros> {
         if !self.is_blocked {
             return None;
         }
-        let is_before = |sample: &&ArrivalSample| sample.arrived + MAX_UNSENT_BYTES <= arrived;
+        let is_before = |sample: &&ArrivalSample| sample.arrived + MAX_UNSENT_BYTES <= bytes;
         let could_not_be_written = self.samples.iter().take_while(is_before).last();
         Some(could_not_be_written.map_or(self.free_at, |sample| sample.at.max(self.free_at)))
     }
--- a/crates/gateway/src/driver/arrival_history/tests.rs
+++ b/crates/gateway/src/driver/arrival_history/tests.rs
@@ -77,3 +77,11 @@
     history.record(sample(2 * INTERVAL));
     assert_eq!(history.earliest_write(1), None);
 }
+
+/// A body of known length may have bytes that the client cannot have written yet.
+#[test]
+fn byte_that_has_not_arrived_was_written_no_earlier_than_the_bytes_long_before_it_arrived() {
+    let (history, arrived) = history(&[false; 4], MAX_UNSENT_BYTES / 2);
+    assert_eq!(history.earliest_write(arrived + MAX_UNSENT_BYTES), Some(4 * INTERVAL));
+    assert_eq!(history.earliest_write(arrived + MAX_UNSENT_BYTES / 2), Some(3 * INTERVAL));
+}
--- a/crates/gateway/src/driver/pending_request.rs
+++ b/crates/gateway/src/driver/pending_request.rs
@@ -19,6 +19,8 @@
 const WRITE_CHECK_INTERVAL: Micros = 50_000;
 /// Maximum time for which a body is held back without any progress, in microseconds.
 const MAX_HELD_BACK_TIME: Micros = 15_000_000;
+/// The same for a body of which the client has written only a part.
+const MAX_UNWRITTEN_HELD_BACK_TIME: Micros = 5_000_000;
 
 /// A request to be inserted into the table.
 pub struct NewRequest {
@@ -136,8 +138,7 @@
     /// may have written all of it before.
     pub fn may_start_attempt(&mut self, now: Micros) -> bool {
         if self.outgoing.body.is_incomplete() {
-            let arrived = self.outgoing.body.taken() + self.input.unread_bytes();
-            let written_at = self.arrival.earliest_write(arrived).unwrap_or(now);
+            let written_at = self.arrival.earliest_write(self.possible_end()).unwrap_or(now);
             self.deadline = written_at + self.client_timeout;
         }
         self.in_flight.is_none() && self.answer.is_some() && now < self.deadline
@@ -204,19 +205,33 @@
 
     /// Returns the time by which a request whose body is held back must be answered; `None` while more data of
     /// the client is awaited. The newest byte may be the last one, from which the client's time counts; and a
-    /// server that takes nothing for long is not worth waiting for.
+    /// server that takes nothing for long is not worth waiting for. The last byte of a body of known length has
+    /// not been written while more than a client's system keeps is missing.
     pub fn held_back_deadline(&self, now: Micros) -> Option<Micros> {
-        let body = &self.outgoing.body;
-        let earliest_write = self.arrival.earliest_write(body.taken() + self.input.unread_bytes());
-        let held_back_for = body.held_back_for().map(|time| time.as_micros() as Micros);
+        let earliest_write = self.arrival.earliest_write(self.possible_end());
+        let held_back_for = self.outgoing.body.held_back_for().map(|time| time.as_micros() as Micros);
         if earliest_write.is_none() && held_back_for.is_none() {
             return None;
         }
         let newest_byte_at =
             || now.saturating_sub(self.input.newest_byte_age().estimate.as_micros() as Micros);
-        let client_deadline = earliest_write.unwrap_or_else(newest_byte_at) + self.client_timeout;
-        let stall_deadline = held_back_for.map(|time| now.saturating_sub(time) + MAX_HELD_BACK_TIME);
-        Some(stall_deadline.map_or(client_deadline, |deadline| deadline.min(client_deadline)))
+        let has_arrived = self.arrived_bytes() >= self.possible_end();
+        let written_at = earliest_write.or_else(|| has_arrived.then(newest_byte_at));
+        let client_deadline = written_at.map(|at| at + self.client_timeout);
+        let may_be_written = written_at.is_some_and(|at| at < now);
+        let stall_time = if may_be_written { MAX_HELD_BACK_TIME } else { MAX_UNWRITTEN_HELD_BACK_TIME };
+        let stall_deadline = held_back_for.map(|time| now.saturating_sub(time) + stall_time);
+        client_deadline.into_iter().chain(stall_deadline).min()
+    }
+
+    /// Returns the number of bytes of the body that have reached this machine.
+    fn arrived_bytes(&self) -> u64 {
+        self.outgoing.body.taken() + self.input.unread_bytes()
+    }
+
+    /// Returns the number of bytes after which the body ends, or may end if its length is not known.
+    fn possible_end(&self) -> u64 {
+        self.outgoing.body.length().unwrap_or_else(|| self.arrived_bytes())
     }
 
     /// Returns the time since the client can have written the last byte of a body that has been read to its end.
--- a/crates/gateway/tests/loopback/held_back_uploads.rs
+++ b/crates/gateway/tests/loopback/held_back_uploads.rs
@@ -8,7 +8,8 @@
 use crate::rig::gateway_process::GatewayProcess;
 use crate::rig::message::read_head;
 use crate::rig::request::{non_idempotent_request, with_client_timeout, with_framing};
-use std::io::Read;
+use socket2::SockRef;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -37,6 +38,19 @@
 const SENDING_CLIENTS: usize = 8;
 /// Time from a client's end within which its request ends.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Length of a body that is far longer than what the systems of both sides keep.
+const SLOW_UPLOAD_BYTES: usize = 20 << 20;
+/// Part of it that its server takes at a time.
+const SLOW_UPLOAD_LUMP_BYTES: usize = 2 << 20;
+/// Pause of its server after each part.
+const SLOW_UPLOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which its client waits, in milliseconds: less than the server needs, and more than it needs for what the
+/// client's system keeps.
+const SLOW_UPLOAD_TIMEOUT_MS: u64 = 3_000;
+/// Size of the receive buffer of a slow server.
+const SMALL_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Time within which a request is answered whose server takes nothing of a body that is far from written.
+const HANGING_UPLOAD_TIMEOUT: Duration = Duration::from_secs(6);
 /// Delay of a slow server between two reads.
 const SLOW_READ_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -161,6 +175,49 @@
     format!("Content-Length: {}", SLOW_BODY_CHUNKS * encode_chunk(&vec![b'x'; CHUNK_BYTES]).len())
 }
 
+/// Guards against a body that is given up for slow while its client is still writing it.
+#[test]
+fn long_body_that_its_server_takes_slowly_is_not_given_up_before_its_client_can_have_written_it() {
+    let framing = format!("Content-Length: {SLOW_UPLOAD_BYTES}");
+    let HeldBackRig { listener, mut client, gateway: _gateway } =
+        HeldBackRig::start_with_framing(SLOW_UPLOAD_TIMEOUT_MS, &framing);
+    // The server reads from its system's buffer for less than its client waits.
+    SockRef::from(&listener).set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES).unwrap();
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut server = accept(&listener);
+            read_head(&mut server);
+            let mut lump = vec![0; SLOW_UPLOAD_LUMP_BYTES];
+            for _ in 0..SLOW_UPLOAD_BYTES / SLOW_UPLOAD_LUMP_BYTES {
+                if server.read_exact(&mut lump).is_err() {
+                    return;
+                }
+                thread::sleep(SLOW_UPLOAD_INTERVAL);
+            }
+            server.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+            let _ = std::io::copy(&mut server, &mut std::io::sink());
+        });
+        assert!(client.try_write_bytes(&vec![b'x'; SLOW_UPLOAD_BYTES]), "the gateway gave the body up");
+        let written_at = Instant::now();
+        assert_eq!(client.expect_response().status(), 200);
+        let latest = Duration::from_millis(SLOW_UPLOAD_TIMEOUT_MS) + ANSWER_SLACK;
+        assert!(written_at.elapsed() <= latest, "{:?}", written_at.elapsed());
+        drop(client);
+        drop(_gateway);
+    });
+}
+
+/// Guards against a client that waits for as long as a server hangs, since its body is far from written.
+#[test]
+fn request_whose_server_hangs_at_the_beginning_of_a_very_long_body_is_answered() {
+    let framing = format!("Content-Length: {SLOW_UPLOAD_BYTES}");
+    let mut rig = HeldBackRig::start_with_framing(CLIENT_TIMEOUT_MS, &framing);
+    let sent_at = Instant::now();
+    rig.client.try_write_bytes(&vec![b'x'; SLOW_UPLOAD_BYTES]);
+    assert_eq!(rig.client.expect_response().status(), 429);
+    assert!(sent_at.elapsed() <= HANGING_UPLOAD_TIMEOUT, "{:?}", sent_at.elapsed());
+}
+
 /// The client of a request that a server holds back would wait for longer than the process runs.
 #[test]
 fn request_whose_server_hangs_in_its_body_is_answered_at_shutdown() {
