Play slow, malformed and unfinished responses in the soak

The soak's servers write long responses of unknown length in lumps with pauses of up to 1.8 s, stop in a response, or write a malformed chunk up to 1.2 s after the head. Its clients read whatever framing comes.

--- a/crates/gateway/tests/loopback/pausing_answers.rs
+++ b/crates/gateway/tests/loopback/pausing_answers.rs
@@ -7,7 +7,7 @@
 use crate::rig::message::{pattern, read_head};
 use crate::rig::received_answer::ReceivedAnswer;
 use crate::rig::request::{idempotent_request, keyed_request, non_idempotent_request, with_client_timeout};
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::iter;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Mutex;
@@ -77,7 +77,7 @@
         let server = accept(&listener);
         thread::scope(|scope| {
             let serving = scope.spawn(|| self.serve(server));
-            let answer = ReceivedAnswer::read(client, sent_at);
+            let answer = ReceivedAnswer::read(&mut BufReader::new(client), sent_at);
             drop(gateway);
             let head_written_at = serving.join().unwrap();
             (head_written_at < sent_at + self.client_timeout / 2).then_some(answer)
@@ -132,7 +132,7 @@
             let answer = play.run();
             if let Some(fault) = fault(&play, &answer) {
                 let Play { name, framing, client_timeout, .. } = &play;
-                let ReceivedAnswer { status, body, is_whole, began_after, ended_after } = &answer;
+                let ReceivedAnswer { status, body, is_whole, began_after, ended_after, .. } = &answer;
                 found.lock().unwrap().push(format!(
                     "{fault}: {name}, {framing:?}, {client_timeout:?}, {}: {status}, {} of {} bytes, whole \
                      {is_whole}, {began_after:?} to {ended_after:?}",
--- a/crates/gateway/tests/loopback/rig/received_answer.rs
+++ b/crates/gateway/tests/loopback/rig/received_answer.rs
@@ -12,6 +12,8 @@
     pub status: u16,
     /// The part of the body that was received.
     pub body: Vec<u8>,
+    /// Whether the response announces the close of the connection.
+    pub closes: bool,
     /// Whether the response ended as its head announced.
     pub is_whole: bool,
     /// Time after which the first byte came.
@@ -22,14 +24,14 @@
 
 impl ReceivedAnswer {
     /// Reads a response to a request that was sent at `sent_at`.
-    pub fn read(stream: TcpStream, sent_at: Instant) -> ReceivedAnswer {
-        let mut reader = BufReader::new(stream);
+    pub fn read(reader: &mut BufReader<TcpStream>, sent_at: Instant) -> ReceivedAnswer {
         let mut answer = ReceivedAnswer::default();
         let _ = reader.fill_buf();
         answer.began_after = sent_at.elapsed();
-        if let Some(head) = read_head(&mut reader) {
+        if let Some(head) = read_head(reader) {
             answer.status = head.status();
-            answer.is_whole = answer.read_body(&head, &mut reader).is_some();
+            answer.closes = head.header("connection") == "close";
+            answer.is_whole = answer.read_body(&head, reader).is_some();
         }
         answer.ended_after = sent_at.elapsed();
         answer
--- a/crates/gateway/tests/loopback/soak/checks.rs
+++ b/crates/gateway/tests/loopback/soak/checks.rs
@@ -27,6 +27,13 @@
     plan: &'a Plan,
 }
 
+impl Run<'_> {
+    /// Returns whether a connection may have been broken in an interval by a fault of the plan or by SIGKILL.
+    fn may_break_connections(&self, from: Instant, to: Instant) -> bool {
+        self.plan.breaks_connections() || self.record.was_killed_between(from, to)
+    }
+}
+
 /// Returns descriptions of the violations of the requirements in a run.
 pub fn violations(record: &Record, plan: &Plan) -> Vec<String> {
     let run = Run { record, plan };
@@ -57,7 +64,7 @@
 
 /// Returns the violations of the requirements by one request and its attempts.
 fn request_violations(request: &ClientRequest, attempts: &[&ReceivedAttempt], run: &Run<'_>) -> Vec<String> {
-    let mut violations = outcome_violations(request, attempts, run.plan.exhausts_descriptors());
+    let mut violations = outcome_violations(request, attempts, run);
     violations.extend(duplicate_runs(request, attempts));
     violations.extend(attempts.iter().flat_map(|attempt| attempt_violations(request, attempt, run)));
     let class = CLASSES[request.class];
@@ -66,20 +73,26 @@
 
 /// Checks that a request got one final response, in time, whose status agrees with the attempts that servers
 /// received.
-fn outcome_violations(
-    request: &ClientRequest,
-    attempts: &[&ReceivedAttempt],
-    descriptors_exhausted: bool,
-) -> Vec<String> {
+fn outcome_violations(request: &ClientRequest, attempts: &[&ReceivedAttempt], run: &Run<'_>) -> Vec<String> {
     let may_have_run = attempts.iter().any(|attempt| !attempt.rejected);
     let mut violations = Vec::new();
     match request.outcome {
-        RequestOutcome::Response { status, complete, at } => {
+        RequestOutcome::Response { status, complete, is_long, began_at, at } => {
             let latest = request.written_at + request.timeout + RESPONSE_GRACE + MEASUREMENT_GRACE;
-            if at > latest {
-                let elapsed = at - request.written_at;
+            let is_slow = attempts.iter().any(|attempt| attempt.responds_slowly);
+            let is_sound = attempts.iter().all(|attempt| attempt.responds_slowly);
+            // A long response has to begin in time, as has one that its server breaks off.
+            let timed_at = if status == 200 && (is_long || !complete) { began_at } else { at };
+            if timed_at > latest {
+                let elapsed = timed_at - request.written_at;
                 violations.push(format!("lost (response after {elapsed:?} of {:?})", request.timeout));
             }
+            if is_long && !is_slow {
+                violations.push("a response that no server gave".to_owned());
+            }
+            if status == 200 && !complete && is_sound && !run.may_break_connections(began_at, at) {
+                violations.push("lost (a long response was cut off)".to_owned());
+            }
             if matches!(status, 429 | 503) && may_have_run && request.class == NON_IDEMPOTENT {
                 violations.push("rejected although an attempt may have run".to_owned());
             }
@@ -91,7 +104,7 @@
             violations.push("lost (forwarded, then closed without a response)".to_owned());
         }
         // While idle clients exhaust the descriptors, new connections may be closed unread.
-        RequestOutcome::Closed if request.first_on_connection && !descriptors_exhausted => {
+        RequestOutcome::Closed if request.first_on_connection && !run.plan.exhausts_descriptors() => {
             violations.push("lost (closed on a new connection)".to_owned());
         }
         // The close of an idle connection crossed the request, which a client sends again.
--- a/crates/gateway/tests/loopback/soak/client.rs
+++ b/crates/gateway/tests/loopback/soak/client.rs
@@ -3,7 +3,9 @@
 
 use super::plan::{milliseconds, CLASSES};
 use super::record::{ClientRequest, Record, RequestOutcome};
-use crate::rig::message::read_message;
+use super::server::LONG_BODY_BYTES;
+use crate::rig::message::{pattern, read_message};
+use crate::rig::received_answer::ReceivedAnswer;
 use crate::rig::request::{idempotent_request, keyed_request, non_idempotent_request, with_client_timeout};
 use fastrand::Rng;
 use std::io::{BufReader, Write};
@@ -155,12 +157,20 @@
     /// Reads the response, and keeps the connection if the gateway leaves it open.
     fn read_response(&mut self, mut connection: Connection, timeout: Duration) -> RequestOutcome {
         connection.stream.get_ref().set_read_timeout(Some(timeout + READ_GRACE)).unwrap();
-        let response = read_message(&mut connection.stream).filter(|response| response.status() > 0);
-        let Some(response) = response else { return RequestOutcome::Closed };
-        let at = Instant::now();
-        if response.header("connection") != "close" && response.complete {
+        let read_at = Instant::now();
+        let response = ReceivedAnswer::read(&mut connection.stream, read_at);
+        if response.status == 0 {
+            return RequestOutcome::Closed;
+        }
+        if !response.closes && response.is_whole {
             self.connection = Some(Connection { is_new: false, ..connection });
         }
-        RequestOutcome::Response { status: response.status(), complete: response.complete, at }
+        RequestOutcome::Response {
+            status: response.status,
+            complete: response.is_whole,
+            is_long: response.body == pattern(LONG_BODY_BYTES),
+            began_at: read_at + response.began_after,
+            at: read_at + response.ended_after,
+        }
     }
 }
--- a/crates/gateway/tests/loopback/soak/mod.rs
+++ b/crates/gateway/tests/loopback/soak/mod.rs
@@ -192,6 +192,7 @@
             }
         }
         thread::sleep(kill_at.saturating_duration_since(Instant::now()));
+        self.record.process_killed();
         gateway.kill_unless_exited();
     }
 
--- a/crates/gateway/tests/loopback/soak/plan.rs
+++ b/crates/gateway/tests/loopback/soak/plan.rs
@@ -90,6 +90,11 @@
         self.faults.contains("hold=")
     }
 
+    /// Returns whether the plan has the fault that breaks established connections.
+    pub fn breaks_connections(&self) -> bool {
+        self.faults.contains("broken=")
+    }
+
     /// Returns the maximum scheduling delay before a system call.
     pub fn max_call_delay(&self) -> Duration {
         let milliseconds = self.faults.split(' ').find_map(|fault| fault.strip_prefix("preempt_ms="));
--- a/crates/gateway/tests/loopback/soak/record.rs
+++ b/crates/gateway/tests/loopback/soak/record.rs
@@ -18,6 +18,8 @@
     pub forwarded_timeout: Duration,
     /// Whether the server's response proves that the request did not run.
     pub rejected: bool,
+    /// Whether the server writes a long response with pauses.
+    pub responds_slowly: bool,
 }
 
 /// The outcome of a request as its client saw it.
@@ -26,8 +28,12 @@
     /// The client received a response.
     Response {
         status: u16,
-        /// Whether the body had the length stated in `Content-Length`.
+        /// Whether the body ended as its head announced.
         complete: bool,
+        /// Whether the body is the long one of a server that writes it slowly.
+        is_long: bool,
+        /// Time at which the client received the first byte of the response.
+        began_at: Instant,
         /// Time at which the client finished reading the response.
         at: Instant,
     },
@@ -104,6 +110,8 @@
     pub drains: Mutex<Vec<Drain>>,
     /// Pauses of gateway processes.
     pub pauses: Mutex<Vec<Pause>>,
+    /// Times right before SIGKILL was sent.
+    pub kills: Mutex<Vec<Instant>>,
     /// Gateway processes in the order of their start.
     pub processes: Mutex<Vec<ProcessRun>>,
 }
@@ -135,6 +143,16 @@
         }
     }
 
+    /// Records that the running process is about to be killed.
+    pub fn process_killed(&self) {
+        self.kills.lock().unwrap().push(Instant::now());
+    }
+
+    /// Returns whether a process was killed in an interval.
+    pub fn was_killed_between(&self, from: Instant, to: Instant) -> bool {
+        self.kills.lock().unwrap().iter().any(|killed_at| (from..=to).contains(killed_at))
+    }
+
     /// Returns the total time that the gateway was paused in an interval.
     pub fn paused_between(&self, from: Instant, to: Instant) -> Duration {
         self.pauses.lock().unwrap().iter().map(|pause| pause.overlap(from, to)).sum()
--- a/crates/gateway/tests/loopback/soak/server.rs
+++ b/crates/gateway/tests/loopback/soak/server.rs
@@ -1,11 +1,13 @@
 //! The servers of the soak, which record the attempts that they receive and behave at random.
 
 use super::record::{ReceivedAttempt, Record};
-use crate::rig::message::read_message;
+use crate::rig::framing::Framing;
+use crate::rig::message::{pattern, read_message};
 use crate::rig::timestamped_stream::{enable_receive_timestamps, TimestampedStream};
 use fastrand::Rng;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -14,6 +16,17 @@
 /// it.
 const MISSING_TIMEOUT_MS: u64 = u64::MAX / 2;
 
+/// Head of a chunked response.
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Upper bound of the time from the head of a malformed response to its malformed chunk.
+const MAX_MALFORM_DELAY_MS: u64 = 1_200;
+/// Length of a long body.
+pub const LONG_BODY_BYTES: usize = 150 << 10;
+/// Maximum number of parts of a long body, each of which is longer than what a server that hangs has written.
+const MAX_LUMPS: usize = 4;
+/// Upper bound of the pause before each part.
+const MAX_LUMP_PAUSE_MS: u64 = 1_800;
+
 /// The reaction of a server to an attempt.
 #[derive(Clone, Copy, PartialEq)]
 enum Behaviour {
@@ -27,6 +40,12 @@
     Truncate,
     /// Writes nothing and waits until the gateway closes the connection or sends more data.
     Hang,
+    /// Writes part of a response of unknown length, then nothing.
+    HangInResponse,
+    /// Writes part of a chunked response, then a malformed chunk.
+    Malform,
+    /// Responds with a long body of unknown length, with pauses that may outlast the client.
+    RespondSlowly,
     /// Responds with status 200 after less than 20 ms.
     Respond,
 }
@@ -40,6 +59,9 @@
             14..17 => Behaviour::Close,
             17..20 => Behaviour::Truncate,
             20..23 => Behaviour::Hang,
+            23..25 => Behaviour::HangInResponse,
+            25..28 => Behaviour::Malform,
+            28..34 => Behaviour::RespondSlowly,
             _ => Behaviour::Respond,
         }
     }
@@ -78,29 +100,78 @@
             complete_at: reader.get_ref().received_at(),
             forwarded_timeout: Duration::from_millis(timeout_ms),
             rejected: behaviour == Behaviour::Reject,
+            responds_slowly: behaviour == Behaviour::RespondSlowly,
         });
-        let written = match behaviour {
-            Behaviour::Reject => {
-                write!(writer, "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
-            }
-            Behaviour::Fail => write!(writer, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"),
-            Behaviour::Respond => respond(&mut writer, &request_id, &mut rng),
-            Behaviour::Close => return,
-            Behaviour::Truncate => {
-                let _ = write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf");
-                return;
-            }
-            Behaviour::Hang => {
-                let _ = reader.fill_buf();
-                return;
-            }
-        };
-        if written.is_err() {
+        if react(behaviour, &mut reader, &mut writer, &request_id, &mut rng).is_break() {
             return;
         }
     }
 }
 
+/// Answers an attempt. Returns `Break` if the connection is to be closed.
+fn react(
+    behaviour: Behaviour,
+    reader: &mut BufReader<TimestampedStream>,
+    writer: &mut TcpStream,
+    request_id: &str,
+    rng: &mut Rng,
+) -> ControlFlow<()> {
+    let written = match behaviour {
+        Behaviour::Reject => {
+            write!(writer, "HTTP/1.1 503 Full\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+        Behaviour::Fail => write!(writer, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"),
+        Behaviour::Respond => respond(writer, request_id, rng),
+        Behaviour::Close => return ControlFlow::Break(()),
+        Behaviour::Truncate => {
+            let _ = write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf");
+            return ControlFlow::Break(());
+        }
+        Behaviour::Hang => {
+            let _ = reader.fill_buf();
+            return ControlFlow::Break(());
+        }
+        Behaviour::HangInResponse => {
+            let _ = write!(writer, "{CHUNKED_HEAD}4\r\nhalf\r\n");
+            let _ = reader.fill_buf();
+            return ControlFlow::Break(());
+        }
+        Behaviour::Malform => {
+            let _ = malform(writer, rng);
+            return ControlFlow::Break(());
+        }
+        Behaviour::RespondSlowly => {
+            let _ = respond_slowly(writer, rng);
+            return ControlFlow::Break(());
+        }
+    };
+    if written.is_ok() {
+        ControlFlow::Continue(())
+    } else {
+        ControlFlow::Break(())
+    }
+}
+
+/// Writes the head of a response and, after a while, a sound and a malformed chunk.
+fn malform(writer: &mut TcpStream, rng: &mut Rng) -> std::io::Result<()> {
+    write!(writer, "{CHUNKED_HEAD}")?;
+    thread::sleep(Duration::from_millis(rng.u64(..MAX_MALFORM_DELAY_MS)));
+    write!(writer, "4\r\nhalf\r\nzz\r\n")
+}
+
+/// Responds with a long body in lumps, the first of which may come late.
+fn respond_slowly(writer: &mut TcpStream, rng: &mut Rng) -> std::io::Result<()> {
+    let framing = if rng.bool() { Framing::Chunked } else { Framing::Close };
+    writer.write_all(framing.head().as_bytes())?;
+    let body = pattern(LONG_BODY_BYTES);
+    let lumps = rng.usize(1..=MAX_LUMPS);
+    for lump in body.chunks(LONG_BODY_BYTES.div_ceil(lumps)) {
+        thread::sleep(Duration::from_millis(rng.u64(..MAX_LUMP_PAUSE_MS)));
+        writer.write_all(&framing.encode(lump))?;
+    }
+    framing.end(writer)
+}
+
 /// Responds after less than 20 ms with the id of the request as the body.
 fn respond(writer: &mut TcpStream, request_id: &str, rng: &mut Rng) -> std::io::Result<()> {
     thread::sleep(Duration::from_millis(rng.u64(..20)));
