Retry where an answer known to be short trickles in

Cause: an attempt whose server is writing is not timed out for a retry, whatever it writes. A server that trickles in a short answer of known length kept its request until the client's time was over.

Change: only a response that may be long extends its attempt.

--- a/crates/gateway/src/driver/pending_request.rs
+++ b/crates/gateway/src/driver/pending_request.rs
@@ -258,14 +258,14 @@
     }
 
     /// Returns until when the attempt in flight is not timed out at `now`: its timeout has been extended, or its server
-    /// is writing the response and there is time. `None` if it has timed out.
+    /// is writing a response that may be long and there is time. `None` if it has timed out.
     pub fn attempt_timeout_after(&self, now: Micros) -> Option<Micros> {
         let in_flight = self.in_flight.as_ref()?;
         if now < in_flight.deadline {
             return Some(in_flight.deadline);
         }
         let is_arriving =
-            now < self.deadline && in_flight.connection.is_response_arriving(MAX_PAUSE_BEFORE_RETRY);
+            now < self.deadline && in_flight.connection.is_long_response_arriving(MAX_PAUSE_BEFORE_RETRY);
         is_arriving.then(|| self.deadline.min(now + WRITE_CHECK_INTERVAL))
     }
 
--- a/crates/gateway/src/servers/attempt.rs
+++ b/crates/gateway/src/servers/attempt.rs
@@ -110,6 +110,8 @@
     pass_on_times: Cell<Option<PassOnTimes>>,
     /// Notified when `pass_on_times` changes.
     times_changed: Notify,
+    /// Whether a response has begun that may be a long one.
+    has_long_response: Cell<bool>,
     /// Called, once, when the response has begun to arrive and is waited for beyond the client timeout.
     on_late: RefCell<Option<Box<dyn FnOnce()>>>,
 }
@@ -208,10 +210,16 @@
         self.connection.borrow().as_ref().is_some_and(|connection| connection.request_written())
     }
 
-    /// Returns whether the server has begun a response and has written part of it within `max_pause`.
-    pub fn is_response_arriving(&self, max_pause: Duration) -> bool {
-        let progress = self.response_progress();
-        progress.is_some_and(|progress| progress.bytes_read > 0 && progress.pause < max_pause)
+    /// Records that a response has begun that may be a long one.
+    pub fn record_long_response(&self) {
+        self.has_long_response.set(true);
+    }
+
+    /// Returns whether a response has begun that may be a long one, and its server has written part of it within
+    /// `max_pause`.
+    pub fn is_long_response_arriving(&self, max_pause: Duration) -> bool {
+        let progress = self.response_progress().filter(|_| self.has_long_response.get());
+        progress.is_some_and(|progress| progress.pause < max_pause)
     }
 
     /// Returns what has come of the response; `None` while the connection is being established.
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -256,6 +256,7 @@
                 .map(|_| false)
                 .map_err(read_error);
         }
+        self.connection.record_long_response();
         let is_known_long = length.is_some();
         let enough = if is_known_long { 1 } else { MAX_BUFFERED_BODY_BYTES + 1 };
         let end = reader.read(enough, self.connection.pass_on_due()).await.map_err(read_error)?;
--- a/crates/gateway/tests/loopback/slow_answers.rs
+++ b/crates/gateway/tests/loopback/slow_answers.rs
@@ -10,6 +10,7 @@
 use crate::rig::server::{Reply, Server};
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
 const REPLACED_ANSWERS: usize = 6;
 /// Interval between the pieces of an answer.
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
+/// Length of a short answer that takes far longer than its client waits.
+const LONG_TRICKLE_BYTES: usize = 60_000;
 /// Interval between the lumps of an answer.
 const LUMP_INTERVAL: Duration = Duration::from_millis(250);
 /// Bytes a second that a slow server writes.
@@ -91,7 +94,9 @@
             server.write_all(&piece)?;
             thread::sleep(interval);
         }
-        framing.end(&mut server)?;
+        if framing == Framing::Chunked {
+            framing.end(&mut server)?;
+        }
         server.shutdown(std::net::Shutdown::Write)
     });
     let (status, elapsed) = answer.read_status();
@@ -125,6 +130,36 @@
     assert!(!hanging.unread_requests().is_empty(), "no request reached the server that hangs");
 }
 
+/// A server that trickles in an answer which is known to be short loses its request just as well.
+#[test]
+fn short_answer_that_trickles_in_is_replaced_by_that_of_another_server() {
+    let trickling = TcpListener::bind("127.0.0.1:0").unwrap();
+    let healthy = Server::healthy();
+    let gateway = Deployment::with_two_zones(trickling.local_addr().unwrap(), healthy.address).start();
+    let (reports, served) = channel();
+    thread::spawn(move || {
+        for stream in trickling.incoming() {
+            let reports = reports.clone();
+            thread::spawn(move || trickle(stream.unwrap(), &reports));
+        }
+    });
+    for _ in 0..REPLACED_ANSWERS {
+        let response = gateway.connect().call(&idempotent_request());
+        assert_eq!((response.status(), response.body.as_slice()), (200, b"done".as_slice()));
+    }
+    assert!(served.try_recv().is_ok(), "no request reached the server that trickles");
+}
+
+/// Writes an answer of known length a byte at a time, until the gateway closes the connection.
+fn trickle(mut server: TcpStream, reports: &Sender<()>) {
+    read_head(&mut server);
+    reports.send(()).unwrap();
+    let _ = write!(server, "HTTP/1.1 200 OK\r\nContent-Length: {LONG_TRICKLE_BYTES}\r\n\r\n");
+    while server.write_all(b"x").is_ok() {
+        thread::sleep(PIECE_INTERVAL);
+    }
+}
+
 /// A server that hangs in a short answer: what its client gets shows that the answer is not whole.
 #[test]
 fn answer_whose_server_stops_is_ended_soon_after_the_client_timeout() {
