--- a/crates/core/src/admission/final_answer.rs
+++ b/crates/core/src/admission/final_answer.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Extends the deadline of a request whose response has begun to arrive, at most until the end of this process.
+    /// Extends the deadline of a request whose response has begun to arrive, at most until the end of this
+    /// process.
     pub(crate) fn await_late_response(&mut self, id: RequestId, deadline: Micros, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.response_late = true;
