--- a/crates/core/src/attempts/dispatch.rs
+++ b/crates/core/src/attempts/dispatch.rs
@@ -36,8 +36,8 @@
         Ok(())
     }
 
-    /// Selects the server for the next attempt of a request. Fails if the rules, the retry budget, the expected
-    /// latency or the load of the back end forbid an attempt.
+    /// Selects the server for the next attempt of a request. Fails if the rules, the retry budget, the
+    /// expected latency or the load of the back end forbid an attempt.
     fn prepare_attempt(&mut self, now: Micros, id: RequestId) -> Result<PreparedAttempt, AnswerReason> {
         let request = self.requests.get(&id).ok_or(AnswerReason::RetryForbidden)?;
         if !self.is_attempt_allowed(now, request) {
--- a/crates/gateway/src/operations/request_log.rs
+++ b/crates/gateway/src/operations/request_log.rs
@@ -44,7 +44,7 @@
 }
 
 impl RequestLog {
-    /// Logs the end of an attempt.
+    /// Logs why an attempt has no whole response, and how far its request and response came.
     pub fn log_attempt_end(&self, end: &AttemptEnd<'_>) {
         let Some(suppressed) = self.admit() else { return };
         let response = end.response.unwrap_or_default();
