Do not end a response for its first small part once it counts as long

What callers saw: nothing yet; found by reading the mends again. A long answer that had been passed on with nothing but its head was cut off 0.45 s after the client's time if a part of under 4 KiB had just come.

Cause: two looks at the same answer, at 0.3 and 0.45 s, of which the second could take it for short.

Change: LateAnswerLimit watches only what was passed on before the client's time was over, for want of memory.

--- a/crates/gateway/src/bodies/download.rs
+++ b/crates/gateway/src/bodies/download.rs
@@ -98,19 +98,19 @@
     length: Option<u64>,
     /// Number of bytes of the body that the server has sent.
     received: u64,
-    /// Ends a short body that is late.
-    late_limit: LateAnswerLimit,
+    /// Ends a short body that is late; `None` for a body that was found to be long when its client's time was over.
+    late_limit: Option<LateAnswerLimit>,
     /// The memory of the prefix.
     reservation: Option<Reservation>,
 }
 
 impl Download {
-    /// Creates a body from its beginning and the connection on which the rest arrives. `on_complete` is called
-    /// once all of the body has arrived.
+    /// Creates a body from its beginning and the connection on which the rest arrives. A short body has to be whole soon
+    /// after `client_deadline`, if that is given. `on_complete` is called once all of the body has arrived.
     pub fn new(
         beginning: ReceivedBeginning,
         connection: Rc<ServerConnection>,
-        client_deadline: ClientDeadline,
+        client_deadline: Option<ClientDeadline>,
         on_complete: Box<dyn FnOnce()>,
     ) -> Box<Download> {
         let received = beginning.buffered.len() as u64;
@@ -124,7 +124,7 @@
             connection,
             on_complete: Some(on_complete),
             length: beginning.length,
-            late_limit: LateAnswerLimit::new(client_deadline),
+            late_limit: client_deadline.map(LateAnswerLimit::new),
             reservation: beginning.reservation,
         })
     }
@@ -144,7 +144,8 @@
                 Poll::Ready(Err(error)) => return Poll::Ready(Some(Err(error))),
                 Poll::Pending => {
                     let may_be_long = may_be_long(self.length, self.received);
-                    ready!(self.late_limit.poll_end(may_be_long, cx));
+                    let Some(late_limit) = &mut self.late_limit else { return Poll::Pending };
+                    ready!(late_limit.poll_end(may_be_long, cx));
                     return Poll::Ready(Some(Err(BodyError::Late)));
                 }
             };
--- a/crates/gateway/src/servers/exchange.rs
+++ b/crates/gateway/src/servers/exchange.rs
@@ -215,7 +215,7 @@
                 ResponseContent::Buffered(content)
             }
             ReceivedBody::Beginning(beginning) | ReceivedBody::Late(beginning) => {
-                let client_deadline = attempt.connection.client_deadline();
+                let client_deadline = (!is_late).then(|| attempt.connection.client_deadline());
                 let on_complete = Box::new(release_connection);
                 ResponseContent::Streamed(Download::new(beginning, connection, client_deadline, on_complete))
             }
--- a/crates/gateway/tests/loopback/pausing_answers.rs
+++ b/crates/gateway/tests/loopback/pausing_answers.rs
@@ -183,6 +183,16 @@
     assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
 }
 
+/// Guards against an answer that is passed on with nothing but its head and then ended for its first, small part.
+#[test]
+fn long_answer_that_goes_on_with_a_small_part_is_not_cut_off() {
+    let client_timeout = Duration::from_millis(600);
+    let plays = plays("a small part", &[piece(950, 1_000), piece(1_700, 150_000)], true);
+    let plays = plays.into_iter().filter(|play| play.client_timeout == client_timeout).collect();
+    let faults = faults(plays, long_answer_fault);
+    assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
+}
+
 /// Returns what is wrong with an answer whose server hangs: its client has to get another final answer in time.
 fn hanging_answer_fault(play: &Play, answer: &ReceivedAnswer) -> Option<&'static str> {
     if !matches!(answer.status, 429 | 502) || !answer.is_whole {
