Log which endpoint list a process starts with and when discovery tells one

Cause: no line of the log said by which list a process decides, so that a request to a server that drains could come from a list that was never handed over, one that was overwritten, one that discovery answered late, or from the other process.

Change: one line with the version of the configuration's list at the start, and one with the version that discovery tells first, or first after failed calls.

--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// HTTP path of the endpoint list.
 const LIST_PATH: &str = "/catalog/members";
@@ -79,6 +79,8 @@
     backoff: Backoff,
     /// Whether the last call failed.
     is_failing: bool,
+    /// Whether discovery has answered a call of this process.
+    has_answered: bool,
 }
 
 impl EndpointWatch {
@@ -99,6 +101,7 @@
             is_shared_service: settings.capabilities.polls_discovery,
             backoff: Backoff::new(settings.gateway_count, seed),
             is_failing: false,
+            has_answered: false,
         }
     }
 
@@ -133,7 +136,11 @@
         driver: &Rc<DecisionDriver>,
     ) -> Option<Duration> {
         self.backoff.reset();
-        self.is_failing = false;
+        if std::mem::replace(&mut self.is_failing, false) || !std::mem::replace(&mut self.has_answered, true)
+        {
+            let agent = self.agent.address();
+            info!(%agent, version = list.version, "discovery tells the endpoint list");
+        }
         let is_unchanged = self.known_version == Some(list.version) && list.endpoints.is_empty();
         self.known_version = Some(list.version);
         let watch_event = if list.is_snapshot { WatchEvent::Snapshot } else { WatchEvent::Delta };
--- a/crates/gateway/src/lifecycle/services.rs
+++ b/crates/gateway/src/lifecycle/services.rs
@@ -19,6 +19,7 @@
 use std::rc::{Rc, Weak};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, AbortHandle};
+use tracing::info;
 
 /// HTTP path of health checks if servers report their load.
 const LOAD_REPORT_PATH: &str = "/_load";
@@ -67,6 +68,7 @@
     let request_counters = RequestCounters::new(config.names.classes.clone());
     let driver = DecisionDriver::new(gateway, clock, transports, request_counters);
     let known_endpoints = std::mem::take(&mut config.known_endpoints.endpoints);
+    info!(version = config.known_endpoints.version, "starting with the endpoint list of the configuration");
     driver.handle_endpoint_update(WatchEvent::CachedSnapshot, known_endpoints);
     let mut tasks = ServingTasks::default();
     tasks.spawn(driver.clone().run_timers());
