Exchange endpoint lists between the processes of a hand-over

Cause: a new process began with the list of its configuration and had nothing else until its own discovery answered; what its predecessor had been told was not handed over. Nor did either process learn what the other was told later.

Evidence: with the log lines of the new process starts with version 41 and hears nothing, while 42 had been told; the old process stops 0.5 s after the yes, before all late requests; no hand-over fails. That excludes requests of the old process, a list that is overwritten, a failed hand-over and an older answer.

Change: CurrentList holds the list that a process decides by, with its agent, version and origin, and EndpointExchange sends it to the other process over a socket of its own: the complete list at the start, then each change, both ways. An answer of the process's own discovery goes before all; a list of the same agent needs a higher version; the configuration's list gives way unless it is newer. The connection is read with bounds on lines and entries, a start waits at most 0.5 s, and an earlier version neither listens nor connects. The text of the hand-over is unchanged.

Why it works: a list reaches the new process before it accepts clients, and the servers' state is restored for its servers.

--- a/crates/core/src/endpoints/membership.rs
+++ b/crates/core/src/endpoints/membership.rs
@@ -33,6 +33,12 @@
         self.servers.purge_removed();
     }
 
+    /// Returns the endpoint list as last updated, with start times by the fleet's clock.
+    pub fn listed_endpoints(&self) -> impl Iterator<Item = Endpoint> + '_ {
+        let listed = self.servers.iter().filter(|server| server.endpoint.state != EndpointState::Removed);
+        listed.map(|server| Endpoint { started_at: server.reported_start, ..server.endpoint.clone() })
+    }
+
     /// Marks the servers that are missing in a complete list as removed.
     fn remove_unlisted(&mut self, now: Micros, endpoints: &[Endpoint]) {
         for id in self.servers.unlisted(endpoints) {
--- a/crates/gateway/src/config/document.rs
+++ b/crates/gateway/src/config/document.rs
@@ -102,6 +102,12 @@
 }
 
 impl Config {
+    /// Moves the last known endpoint list out of the configuration.
+    pub fn take_known_endpoints(&mut self) -> EndpointList {
+        let endpoints = std::mem::take(&mut self.known_endpoints.endpoints);
+        EndpointList { endpoints, ..self.known_endpoints }
+    }
+
     /// Reads a configuration file. If it has no operators' address, the one in the environment applies.
     pub fn load(path: &Path) -> Result<Config, ConfigError> {
         let unreadable = |source| ConfigError::Unreadable { path: path.to_owned(), source };
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -5,13 +5,13 @@
 mod error;
 
 use crate::config::names::WireNames;
+use crate::control::current_list::CurrentList;
 use crate::control::discovery::agent_client::AgentClient;
 use crate::control::discovery::backoff::{Backoff, RETRY_INTERVAL};
 use crate::control::discovery::error::WatchError;
 use crate::control::endpoint_list::{EndpointList, EndpointListMessage};
-use crate::driver::decision_driver::DecisionDriver;
 use crate::logging::ErrorChain;
-use grebehook_core::{Settings, WatchEvent};
+use grebehook_core::Settings;
 use grebehook_simulator_adapter::fields;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +57,15 @@
     snapshot: Duration,
 }
 
+/// A call to discovery.
+struct Call {
+    /// Version that a watch continues from; `None` if the call requests a snapshot.
+    known_version: Option<u64>,
+    /// Revision of the current list at the start of the call.
+    list_revision: u64,
+    started_at: Instant,
+}
+
 /// Waits until the configuration specifies another agent and returns its address.
 async fn next_agent_address(addresses: &mut watch::Receiver<SocketAddr>) -> SocketAddr {
     match addresses.changed().await {
@@ -72,8 +81,9 @@
     addresses: watch::Receiver<SocketAddr>,
     agent: AgentClient,
     names: WireNames,
-    /// Version of the known list; `None` if the next call has to request a snapshot.
-    known_version: Option<u64>,
+    list: Rc<CurrentList>,
+    /// Whether the next call has to request a snapshot, as the version may have caused the last one to fail.
+    needs_snapshot: bool,
     /// Whether the list is polled from a shared service rather than pushed to an agent.
     is_shared_service: bool,
     backoff: Backoff,
@@ -88,7 +98,7 @@
     pub fn new(
         mut addresses: watch::Receiver<SocketAddr>,
         names: WireNames,
-        known_version: u64,
+        list: Rc<CurrentList>,
         settings: &Settings,
         seed: u64,
     ) -> EndpointWatch {
@@ -97,7 +107,8 @@
             addresses,
             agent: AgentClient::new(address),
             names,
-            known_version: Some(known_version),
+            list,
+            needs_snapshot: false,
             is_shared_service: settings.capabilities.polls_discovery,
             backoff: Backoff::new(settings.gateway_count, seed),
             is_failing: false,
@@ -107,20 +118,21 @@
 
     /// Watches the list for the lifetime of the process. Switches to another agent as soon as the
     /// configuration specifies one.
-    pub async fn run(mut self, driver: Rc<DecisionDriver>) {
+    pub async fn run(mut self) {
         let mut addresses = self.addresses.clone();
         loop {
-            let started_at = Instant::now();
+            let call = self.next_call();
             let result = tokio::select! {
-                result = self.call() => result,
+                biased;
                 address = next_agent_address(&mut addresses) => {
                     self.switch_agent(address);
                     continue;
                 }
+                result = self.call(&call) => result,
             };
             let delay = match result {
-                Ok(list) => self.apply_list(list, started_at, &driver),
-                Err(error) => Some(self.handle_failure(&error, started_at, &driver)),
+                Ok(list) => self.apply_list(list, &call),
+                Err(error) => Some(self.handle_failure(&error, &call)),
             };
             if let Some(delay) = delay {
                 self.wait_for_retry(delay, &mut addresses).await;
@@ -129,34 +141,23 @@
     }
 
     /// Passes a list to the driver. Returns the delay before the next call, or `None` to call again at once.
-    fn apply_list(
-        &mut self,
-        list: EndpointList,
-        started_at: Instant,
-        driver: &Rc<DecisionDriver>,
-    ) -> Option<Duration> {
+    fn apply_list(&mut self, list: EndpointList, call: &Call) -> Option<Duration> {
         self.backoff.reset();
+        self.needs_snapshot = false;
         if std::mem::replace(&mut self.is_failing, false) || !std::mem::replace(&mut self.has_answered, true)
         {
             let agent = self.agent.address();
             info!(%agent, version = list.version, "discovery tells the endpoint list");
         }
-        let is_unchanged = self.known_version == Some(list.version) && list.endpoints.is_empty();
-        self.known_version = Some(list.version);
-        let watch_event = if list.is_snapshot { WatchEvent::Snapshot } else { WatchEvent::Delta };
-        driver.handle_endpoint_update(watch_event, list.endpoints);
-        (is_unchanged && started_at.elapsed() < RETRY_INTERVAL).then_some(RETRY_INTERVAL)
+        let is_unchanged = call.known_version == Some(list.version) && list.endpoints.is_empty();
+        self.list.apply_discovered(self.agent.address(), list, call.list_revision);
+        (is_unchanged && call.started_at.elapsed() < RETRY_INTERVAL).then_some(RETRY_INTERVAL)
     }
 
     /// Reports a failed call to the driver and returns the delay before the next call. The known list and its
     /// version stay valid, since the next watch returns all newer changes. A snapshot is far more expensive
     /// for discovery, and is requested only if the version may have caused the failure.
-    fn handle_failure(
-        &mut self,
-        error: &WatchError,
-        started_at: Instant,
-        driver: &Rc<DecisionDriver>,
-    ) -> Duration {
+    fn handle_failure(&mut self, error: &WatchError, call: &Call) -> Duration {
         if !std::mem::replace(&mut self.is_failing, true) {
             let agent = self.agent.address();
             let error = ErrorChain(error);
@@ -164,11 +165,11 @@
         }
         self.agent.disconnect();
         if error.invalidates_version() {
-            self.known_version = None;
+            self.needs_snapshot = true;
         }
-        driver.handle_endpoint_update(WatchEvent::Failed, Vec::new());
+        self.list.report_failed_call();
         let delay = self.backoff.delay_after(error, self.is_shared_service);
-        delay.min(MAX_CALL_INTERVAL.saturating_sub(started_at.elapsed()))
+        delay.min(MAX_CALL_INTERVAL.saturating_sub(call.started_at.elapsed()))
     }
 
     /// Waits for the delay, or switches to another agent as soon as the configuration specifies one.
@@ -179,17 +180,24 @@
         }
     }
 
-    /// Switches to another agent, whose versions are unrelated to those of the previous one.
+    /// Switches to another agent, whose versions are unrelated to those of the previous one, so that the next call
+    /// requests a snapshot.
     fn switch_agent(&mut self, address: SocketAddr) {
         self.agent = AgentClient::new(address);
-        self.known_version = None;
+        self.needs_snapshot = false;
         self.backoff.reset();
     }
 
-    /// Makes one call: a watch from the known version, or a snapshot call if no version is known.
-    async fn call(&mut self) -> Result<EndpointList, WatchError> {
+    /// Returns the next call: a watch from the known version, or a snapshot call if no version is known.
+    fn next_call(&self) -> Call {
+        let known_version = self.list.version_of(self.agent.address()).filter(|_| !self.needs_snapshot);
+        Call { known_version, list_revision: self.list.revision(), started_at: Instant::now() }
+    }
+
+    /// Makes a call.
+    async fn call(&mut self, call: &Call) -> Result<EndpointList, WatchError> {
         let timeouts = if self.is_shared_service { SHARED_SERVICE_TIMEOUTS } else { AGENT_TIMEOUTS };
-        let body = match self.known_version {
+        let body = match call.known_version {
             Some(version) => {
                 let long_poll = self.long_poll(timeouts);
                 let path = format!("{LIST_PATH}?index={version}&wait={}", long_poll.as_millis());
@@ -202,7 +210,7 @@
         let message: EndpointListMessage = fields::deserialize(&document).map_err(WatchError::Malformed)?;
         let list = message.into_list(&self.names);
         // An older list may contain servers that have been removed since.
-        if self.known_version.is_some_and(|known| list.version < known) {
+        if call.known_version.is_some_and(|known| list.version < known) {
             return Err(WatchError::Stale);
         }
         Ok(list)
--- a/crates/gateway/src/control/endpoint_list.rs
+++ b/crates/gateway/src/control/endpoint_list.rs
@@ -128,10 +128,30 @@
     match names.zones.iter().position(|name| name == zone) {
         Some(index) => index as u32,
         None if zone.is_empty() => names.zones.len() as u32,
-        None => FIRST_UNLISTED_ZONE | fnv_1a(zone) as u32,
+        None => unlisted_zone(zone),
     }
 }
 
+/// Returns a key of a zone that is the same for all settings; `None` for servers without a zone.
+pub fn zone_key(zone: u32, names: &WireNames) -> Option<u32> {
+    match names.zones.get(zone as usize) {
+        Some(name) => Some(unlisted_zone(name)),
+        None => Some(zone).filter(|zone| *zone != names.zones.len() as u32),
+    }
+}
+
+/// Returns the number of the zone with a key.
+pub fn zone_from_key(key: Option<u32>, names: &WireNames) -> u32 {
+    let Some(key) = key else { return names.zones.len() as u32 };
+    let index = names.zones.iter().position(|name| unlisted_zone(name) == key);
+    index.map_or(key, |index| index as u32)
+}
+
+/// Returns the number of a zone that the settings do not list.
+fn unlisted_zone(name: &str) -> u32 {
+    FIRST_UNLISTED_ZONE | fnv_1a(name) as u32
+}
+
 /// Returns the number if it is finite and not negative.
 fn non_negative(number: Option<f64>) -> Option<f64> {
     number.filter(|number| number.is_finite() && *number >= 0.0)
--- a/crates/gateway/src/driver/decision_driver.rs
+++ b/crates/gateway/src/driver/decision_driver.rs
@@ -20,8 +20,8 @@
 use crate::servers::exchange::Upstream;
 use crate::servers::health_check::HealthCheckResult;
 use grebehook_core::{
-    Action, AnswerReason, AttemptStatus, CounterId, CounterResult, Event, Gateway, Micros, RequestId,
-    ServerId, WatchEvent,
+    Action, AnswerReason, AttemptStatus, CounterId, CounterResult, Endpoint, Event, Gateway, Micros,
+    RequestId, ServerId, WatchEvent,
 };
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -115,6 +115,16 @@
         self.process_events(&mut state);
     }
 
+    /// Returns the endpoint list as last updated.
+    pub fn listed_endpoints(&self) -> Vec<ListedEndpoint> {
+        let state = self.state.borrow();
+        let pool = &self.transports.upstream.pool;
+        let listed = |endpoint: Endpoint| {
+            pool.address(endpoint.server).map(|address| ListedEndpoint { address, endpoint })
+        };
+        state.decision_core.listed_endpoints().filter_map(listed).collect()
+    }
+
     /// Notifies the decision core of a graceful shutdown, in which every request must have its final answer
     /// by the deadline.
     pub fn begin_shutdown(self: &Rc<Self>, deadline: Instant) {
--- a/crates/gateway/src/lifecycle/id_exchange.rs
+++ b/crates/gateway/src/lifecycle/id_exchange.rs
@@ -4,9 +4,8 @@
 
 use crate::driver::decision_driver::DecisionDriver;
 use crate::lifecycle::takeover;
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{UnixListener, UnixStream};
@@ -22,7 +21,7 @@
 const RECEIVE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Returns the path of the socket of the gateway that listens at an address, or `None` without `$TMPDIR`.
-fn socket_path(listen: SocketAddr) -> Option<PathBuf> {
+pub fn socket_path(listen: SocketAddr) -> Option<PathBuf> {
     takeover::socket_path("requests", listen)
 }
 
@@ -43,24 +42,8 @@
     process
 }
 
-/// Listens for successors in the background.
-pub fn listen_for_successor(driver: &Rc<DecisionDriver>, listen: SocketAddr) {
-    let Some(path) = socket_path(listen) else { return };
-    match takeover::bind_socket(&path) {
-        Ok(listener) => {
-            spawn_local(accept_successors(driver.clone(), listener));
-        }
-        Err(error) => warn_unbound(&path, &error),
-    }
-}
-
-fn warn_unbound(path: &Path, error: &io::Error) {
-    let socket = path.display();
-    warn!(%socket, %error, "socket cannot be bound; no successor can learn which requests are forwarded");
-}
-
 /// Begins the exchange with each successor that connects. Never returns.
-async fn accept_successors(driver: Rc<DecisionDriver>, listener: UnixListener) {
+pub async fn accept_successors(driver: Rc<DecisionDriver>, listener: UnixListener) {
     loop {
         begin(&driver, takeover::accept(&listener).await);
     }
--- a/crates/gateway/src/lifecycle/services.rs
+++ b/crates/gateway/src/lifecycle/services.rs
@@ -3,23 +3,24 @@
 
 use crate::config::document::{Config, RejectedSettings};
 use crate::control::counter::SharedCounter;
+use crate::control::current_list::CurrentList;
 use crate::control::discovery::EndpointWatch;
 use crate::control::peers::GossipSocket;
 use crate::driver::clock::Clock;
 use crate::driver::decision_driver::{DecisionDriver, Transports};
+use crate::lifecycle::endpoint_exchange::EndpointExchange;
 use crate::lifecycle::error::RunError;
 use crate::lifecycle::resources::ResourceBudget;
 use crate::lifecycle::startup;
 use crate::operations::request_counts::RequestCounters;
 use crate::servers::exchange::Upstream;
 use crate::servers::pool::ConnectionPool;
-use grebehook_core::{Gateway, LoadReports, WatchEvent};
+use grebehook_core::{Gateway, LoadReports};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, AbortHandle};
-use tracing::info;
 
 /// HTTP path of health checks if servers report their load.
 const LOAD_REPORT_PATH: &str = "/_load";
@@ -32,6 +33,8 @@
     pub driver: Rc<DecisionDriver>,
     /// Client of the shared counter, if the gateway uses one.
     pub counter: Option<Rc<SharedCounter>>,
+    /// Exchange of endpoint lists with the other processes of hand-overs.
+    pub endpoints: Rc<EndpointExchange>,
     /// Sends the address of the discovery agent to the endpoint watch when it changes.
     pub discovery_address: watch::Sender<SocketAddr>,
     /// Tasks that run until all requests have their answers.
@@ -67,9 +70,8 @@
     let counter = transports.counter.clone();
     let request_counters = RequestCounters::new(config.names.classes.clone());
     let driver = DecisionDriver::new(gateway, clock, transports, request_counters);
-    let known_endpoints = std::mem::take(&mut config.known_endpoints.endpoints);
-    info!(version = config.known_endpoints.version, "starting with the endpoint list of the configuration");
-    driver.handle_endpoint_update(WatchEvent::CachedSnapshot, known_endpoints);
+    let known_endpoints = config.take_known_endpoints();
+    let list = CurrentList::new(driver.clone(), config.discovery_address, known_endpoints);
     let mut tasks = ServingTasks::default();
     tasks.spawn(driver.clone().run_timers());
     if let Some(peers) = peers {
@@ -77,11 +79,10 @@
         tasks.spawn(peers.receive(move |from, message| driver.handle_gossip(from, message)));
     }
     let (discovery_address, addresses) = watch::channel(config.discovery_address);
-    let known_version = config.known_endpoints.version;
     let names = config.names.clone();
-    let watch = EndpointWatch::new(addresses, names, known_version, &config.settings, config.seed);
-    tasks.spawn(watch.run(driver.clone()));
-    Ok(Services { driver, counter, discovery_address, tasks })
+    let endpoints = EndpointExchange::new(list.clone(), names.clone(), discovery_address.clone());
+    tasks.spawn(EndpointWatch::new(addresses, names, list, &config.settings, config.seed).run());
+    Ok(Services { driver, counter, endpoints, discovery_address, tasks })
 }
 
 /// Binds the socket for gossip, if the deployment has any.
--- a/crates/gateway/src/lifecycle/serving.rs
+++ b/crates/gateway/src/lifecycle/serving.rs
@@ -2,12 +2,14 @@
 
 use crate::clients::server::ClientServer;
 use crate::driver::decision_driver::DecisionDriver;
-use crate::lifecycle::shared_memory::{HandoverRole, MemoryDivision};
+use crate::lifecycle::handover_role::HandoverRole;
+use crate::lifecycle::shared_memory::MemoryDivision;
 use crate::lifecycle::signals::StopSignal;
+use crate::lifecycle::successor_listeners::SuccessorListeners;
 use crate::lifecycle::takeover;
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::net::{TcpListener, UnixListener};
+use tokio::net::TcpListener;
 use tokio::task::JoinError;
 use tracing::warn;
 
@@ -26,7 +28,7 @@
     driver: &Rc<DecisionDriver>,
     memory: &Rc<MemoryDivision>,
     listener: &TcpListener,
-    control_socket: Option<&UnixListener>,
+    successors: &mut SuccessorListeners,
     stop: &mut StopSignal,
 ) -> Result<ServingEnd, JoinError> {
     loop {
@@ -37,7 +39,7 @@
             signalled_at = &mut *stop => {
                 return Ok(ServingEnd { signalled_at: signalled_at?, is_handed_over: false });
             }
-            successor = takeover::accept_successor(control_socket) => successor,
+            successor = successors.accept_successor() => successor,
         };
         clients.set_handed_over(true);
         memory.set_handed_over(true);
--- a/crates/gateway/src/lifecycle/shared_memory.rs
+++ b/crates/gateway/src/lifecycle/shared_memory.rs
@@ -4,9 +4,9 @@
 
 use crate::clients::server::ClientServer;
 use crate::driver::decision_driver::DecisionDriver;
+use crate::lifecycle::handover_role::HandoverRole;
 use crate::lifecycle::resources::{ResourceBudget, ResourceLimits};
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -20,24 +20,6 @@
 /// Bytes of a unit of the memory that the kernel states.
 const BYTES_PER_KIB: usize = 1 << 10;
 
-/// The part that another process of the gateway has had in a hand-over.
-#[derive(Clone, Copy)]
-pub enum HandoverRole {
-    /// It has handed over to this process.
-    Predecessor,
-    /// This process had handed over to it.
-    Successor,
-}
-
-impl fmt::Display for HandoverRole {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            HandoverRole::Predecessor => "predecessor",
-            HandoverRole::Successor => "successor",
-        })
-    }
-}
-
 /// Another process of the gateway, and the memory that it uses.
 struct OtherProcess {
     id: u32,
--- a/crates/gateway/src/lifecycle/startup.rs
+++ b/crates/gateway/src/lifecycle/startup.rs
@@ -3,6 +3,7 @@
 
 use crate::config::document::{Config, ConfigError};
 use crate::driver::decision_driver::DecisionDriver;
+use crate::lifecycle::endpoint_exchange::EndpointExchange;
 use crate::lifecycle::error::RunError;
 use crate::lifecycle::id_exchange;
 use crate::lifecycle::takeover::{self, ControlConnection, Predecessor};
@@ -98,9 +99,12 @@
 /// if there is none.
 pub async fn open_client_listener(
     driver: &Rc<DecisionDriver>,
+    endpoints: &Rc<EndpointExchange>,
     address: SocketAddr,
 ) -> Result<ClientListener, RunError> {
-    let earlier_process = id_exchange::join_predecessor(driver, address).await;
+    let joined_ids = id_exchange::join_predecessor(driver, address);
+    // The state of servers that the predecessor knows is restored only for those in the list.
+    let (earlier_process, ()) = tokio::join!(joined_ids, endpoints.join_predecessor(address));
     let predecessor = match takeover::control_socket_path(address) {
         Some(path) => takeover::take_over(&path).await,
         None => None,
--- a/crates/gateway/src/lifecycle/takeover.rs
+++ b/crates/gateway/src/lifecycle/takeover.rs
@@ -95,34 +95,6 @@
     Ok(Predecessor { listener, state, control_connection: connection })
 }
 
-/// Binds the control socket of the gateway that listens at an address. Without one, a successor process
-/// cannot take over and can only bind a separate listener at the same address.
-pub fn listen_for_successor(listen: SocketAddr) -> Option<UnixListener> {
-    let path = control_socket_path(listen)?;
-    match bind_socket(&path) {
-        Ok(control_socket) => Some(control_socket),
-        Err(error) => {
-            let socket = path.display();
-            warn!(%socket, %error, "control socket cannot be bound; no successor can take over the state");
-            None
-        }
-    }
-}
-
-/// Binds a socket between processes, replacing that of an earlier process, which has ended or handed over.
-pub fn bind_socket(path: &Path) -> io::Result<UnixListener> {
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
-        _ => UnixListener::bind(path),
-    }
-}
-
-/// Waits for a successor to connect; never completes without a control socket.
-pub async fn accept_successor(control_socket: Option<&UnixListener>) -> ControlConnection {
-    let Some(control_socket) = control_socket else { return std::future::pending().await };
-    Socket::new(accept(control_socket).await)
-}
-
 /// Waits for another process to connect. Retries errors.
 pub async fn accept(listener: &UnixListener) -> UnixStream {
     loop {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -18,16 +18,16 @@
 use crate::config::document::Config;
 use crate::driver::decision_driver::DecisionDriver;
 use crate::lifecycle::error::RunError;
-use crate::lifecycle::id_exchange;
+use crate::lifecycle::handover_role::HandoverRole;
 use crate::lifecycle::reload::ConfigReloader;
 use crate::lifecycle::resources::{ResourceBudget, ResourceLimits};
 use crate::lifecycle::services::{self, Services};
 use crate::lifecycle::serving::serve_until_stopped;
-use crate::lifecycle::shared_memory::{HandoverRole, MemoryDivision};
+use crate::lifecycle::shared_memory::MemoryDivision;
 use crate::lifecycle::shutdown::Shutdown;
 use crate::lifecycle::signals::Signals;
 use crate::lifecycle::startup::{self, ClientListener};
-use crate::lifecycle::takeover;
+use crate::lifecycle::successor_listeners::SuccessorListeners;
 use crate::logging::ErrorChain;
 use crate::operations::server::OperationsServer;
 use clap::Parser;
@@ -101,7 +101,7 @@
     let longest_deadline = config.longest_deadline();
     let limits = ResourceLimits::new(&config);
     let resources = ResourceBudget::new(limits);
-    let Services { driver, counter, discovery_address, mut tasks } =
+    let Services { driver, counter, endpoints, discovery_address, mut tasks } =
         services::start(&mut config, &resources).await?;
     let name = config.name.clone();
     let operations_listen = config.operations_listen;
@@ -110,13 +110,12 @@
         // The listener has priority over the stop signal: the predecessor may already have handed over, and
         // the clients connecting there need a graceful shutdown like any others.
         biased;
-        listener = startup::open_client_listener(&driver, config.listen) => listener?,
+        listener = startup::open_client_listener(&driver, &endpoints, config.listen) => listener?,
         // No client has been accepted yet, and a predecessor that was asked to hand over resumes accepting.
         _ = &mut signals.stop => return Ok(()),
     };
     let address = listener.socket.local_addr().map_err(RunError::LocalAddress)?;
-    id_exchange::listen_for_successor(&driver, address);
-    let control_socket = takeover::listen_for_successor(address);
+    let mut successors = SuccessorListeners::bind(address, driver.clone(), endpoints);
     spawn_local(ConfigReloader { path, discovery_address, counter }.run(signals.reload));
     let clients = start_client_server(config, &resources, &driver);
     let memory = MemoryDivision::new(limits, clients.clone(), driver.clone());
@@ -132,11 +131,8 @@
 
     let stop = &mut signals.stop;
     let end =
-        serve_until_stopped(&clients, &driver, &memory, &listener.socket, control_socket.as_ref(), stop)
-            .await?;
-    // Closed before the shutdown, since a successor that connected now would wait for a hand-over that never
-    // takes place.
-    drop(control_socket);
+        serve_until_stopped(&clients, &driver, &memory, &listener.socket, &mut successors, stop).await?;
+    successors.refuse_handovers();
     let shutdown = Shutdown::new(end.signalled_at, longest_deadline);
     shutdown.run(&clients, &driver, tasks, listener, &end).await;
     info!(gateway = %name, "stopped");
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod counter;
 mod discovery;
+mod endpoint_handover;
 mod faults;
 mod floods;
 mod held_back_uploads;
--- a/crates/gateway/tests/loopback/rig/discovery_agent.rs
+++ b/crates/gateway/tests/loopback/rig/discovery_agent.rs
@@ -215,6 +215,11 @@
         });
     }
 
+    /// Answers no call from now on, whether or not one is open.
+    pub fn fail_silently(&self) {
+        self.update(|state| state.fault = Some(WatchFault::Down));
+    }
+
     /// Waits for `count` further calls.
     pub fn wait_for_calls(&self, count: usize) {
         let before = self.state.0.lock().unwrap().calls.len();
--- a/crates/gateway/tests/loopback/rig/mod.rs
+++ b/crates/gateway/tests/loopback/rig/mod.rs
@@ -31,4 +31,4 @@
 use std::time::Duration;
 
 /// Time after which an expected event counts as missing; only a failing test waits this long.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+pub const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
