Look at who serves before resuming after the end of a successor

What callers saw: nothing reported; found by playing replacements in series. (1) A successor is killed, the old process serves on, and the next replacement hands over nothing: quotas are granted again and both processes accept clients. (2) A successor is replaced in turn and ends before the first process has its SIGTERM: the first accepts clients beside the third and later shuts down the listening socket that they share, so that no client can connect to the third.

Cause: the end of the connection to the successor counted as "nobody serves". The successor had replaced the sockets in $TMPDIR by which the next one finds the serving process, and they stayed those of a process that had ended.

Change: before it resumes, a process connects to the socket for endpoint lists. Its own, nobody or the ended successor: it resumes, with its sockets bound again. Another process: it waits for its end, and uses the lists that it tells. A disconnect is no longer logged as a failure of the exchange.

Why it works: whoever serves has its sockets at these paths from its start on.

Open: a successor killed between its predecessor's hand-over and its own sockets, in a series of three.

--- a/crates/gateway/src/control/list_transfer.rs
+++ b/crates/gateway/src/control/list_transfer.rs
@@ -37,6 +37,20 @@
     TooManyEndpoints(usize),
 }
 
+impl TransferError {
+    /// Returns the error, unless it only says that the other process has closed the connection.
+    pub fn ignore_disconnect(self) -> Result<(), TransferError> {
+        match &self {
+            TransferError::Connection(error)
+                if matches!(error.kind(), io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset) =>
+            {
+                Ok(())
+            }
+            _ => Err(self),
+        }
+    }
+}
+
 /// JSON form of one entry.
 #[derive(Serialize, Deserialize)]
 struct EndpointRecord {
--- a/crates/gateway/src/lifecycle/endpoint_exchange.rs
+++ b/crates/gateway/src/lifecycle/endpoint_exchange.rs
@@ -34,6 +34,11 @@
     takeover::socket_path("endpoints", listen)
 }
 
+/// Connects to the process at the socket of the gateway that listens at an address, if there is one.
+pub async fn connect(listen: SocketAddr) -> Option<UnixStream> {
+    UnixStream::connect(socket_path(listen)?).await.ok()
+}
+
 /// The exchange of endpoint lists with the other processes of hand-overs.
 pub struct EndpointExchange {
     list: Rc<CurrentList>,
@@ -56,8 +61,7 @@
 
     /// Gets the list of the earlier process, if there is one, and exchanges changes with it from now on.
     pub async fn join_predecessor(self: &Rc<Self>, listen: SocketAddr) {
-        let Some(path) = socket_path(listen) else { return };
-        let Ok(stream) = UnixStream::connect(path).await else { return };
+        let Some(stream) = connect(listen).await else { return };
         let (sender, initial_list) = oneshot::channel();
         spawn_local(self.clone().exchange(stream, HandoverRole::Predecessor, Some(sender)));
         if timeout(INITIAL_LIST_TIMEOUT, initial_list).await.is_err() {
@@ -65,6 +69,13 @@
         }
     }
 
+    /// Uses the lists that a process tells to which the successor of this one has handed over, until it ends.
+    pub async fn follow(&self, stream: UnixStream) {
+        let (reading, _writing) = split(Socket::new(stream));
+        let result = self.receive(reading, HandoverRole::Successor, self.next_number(), None).await;
+        log_end(result, HandoverRole::Successor);
+    }
+
     /// Exchanges lists with each successor that connects. Never returns.
     pub async fn accept_successors(self: Rc<Self>, listener: UnixListener) {
         loop {
@@ -80,17 +91,19 @@
         other: HandoverRole,
         initial_list: Option<oneshot::Sender<()>>,
     ) {
-        let number = ConnectionNumber(self.next_connection.replace(self.next_connection.get() + 1));
+        let number = self.next_number();
         let (reading, writing) = split(Socket::new(stream));
         let changes = self.list.subscribe();
         let result = tokio::select! {
             result = self.receive(reading, other, number, initial_list) => result,
             result = self.send(writing, changes, other, number) => result,
         };
-        if let Err(error) = result {
-            let error = ErrorChain(&error);
-            warn!(%error, "the exchange of endpoint lists with the {other} has ended");
-        }
+        log_end(result, other);
+    }
+
+    /// Returns a number for a new connection.
+    fn next_number(&self) -> ConnectionNumber {
+        ConnectionNumber(self.next_connection.replace(self.next_connection.get() + 1))
     }
 
     /// Adopts the lists of another process that are newer than the current one.
@@ -155,3 +168,11 @@
         }
     }
 }
+
+/// Logs the error that has ended an exchange. A process that ends may leave data unread, which is no failure.
+fn log_end(result: Result<(), TransferError>, other: HandoverRole) {
+    if let Err(error) = result.or_else(TransferError::ignore_disconnect) {
+        let error = ErrorChain(&error);
+        warn!(%error, "the exchange of endpoint lists with the {other} has ended");
+    }
+}
--- a/crates/gateway/src/lifecycle/serving.rs
+++ b/crates/gateway/src/lifecycle/serving.rs
@@ -49,9 +49,16 @@
                 return Ok(ServingEnd { signalled_at: signalled_at?, is_handed_over: true });
             }
         };
+        let ended = takeover::peer_process(successor.get_ref());
+        tokio::select! {
+            () = successors.reclaim(ended) => {}
+            signalled_at = &mut *stop => {
+                return Ok(ServingEnd { signalled_at: signalled_at?, is_handed_over: true });
+            }
+        }
         warn!(%error, "the successor process ended; continuing to accept clients");
         // It no longer serves, but may still be delivering responses.
-        if let Some(process) = takeover::peer_process(successor.get_ref()) {
+        if let Some(process) = ended {
             memory.follow(process, HandoverRole::Successor);
         }
         memory.set_handed_over(false);
--- a/crates/gateway/src/lifecycle/successor_listeners.rs
+++ b/crates/gateway/src/lifecycle/successor_listeners.rs
@@ -9,9 +9,14 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UnixListener;
 use tokio::task::JoinSet;
-use tracing::warn;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+/// Delay before the sockets are looked at again once the process that listened there has ended.
+const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
 /// Sockets for a successor process. Without one of them, a successor starts without what it would tell.
 pub struct SuccessorListeners {
@@ -37,7 +42,7 @@
     }
 
     /// Binds all sockets, in place of those of another process, which has ended or handed over.
-    pub fn bind_all(&mut self) {
+    fn bind_all(&mut self) {
         self.exchanges.abort_all();
         if let Some(listener) = bind_logged(id_exchange::socket_path(self.listen)) {
             self.exchanges.spawn_local(id_exchange::accept_successors(self.driver.clone(), listener));
@@ -48,6 +53,24 @@
         self.control_socket = bind_logged(takeover::control_socket_path(self.listen));
     }
 
+    /// Takes the sockets back after the successor, whose process id is `ended`, no longer serves. While a further process
+    /// serves, to which the successor has handed over in turn, waits for its end and uses the lists that it tells.
+    pub async fn reclaim(&mut self, ended: Option<u32>) {
+        while let Some(stream) = endpoint_exchange::connect(self.listen).await {
+            let process = takeover::peer_process(&stream);
+            if process == Some(std::process::id()) {
+                return;
+            }
+            if process.is_none() || process == ended {
+                break;
+            }
+            info!(process, "the successor has been replaced in turn; not accepting clients");
+            self.endpoints.follow(stream).await;
+            sleep(RECONNECT_DELAY).await;
+        }
+        self.bind_all();
+    }
+
     /// Waits for a successor to connect for a hand-over; never completes without a control socket.
     pub async fn accept_successor(&self) -> ControlConnection {
         let Some(control_socket) = &self.control_socket else { return std::future::pending().await };
--- a/crates/gateway/tests/loopback/endpoint_handover.rs
+++ b/crates/gateway/tests/loopback/endpoint_handover.rs
@@ -3,6 +3,7 @@
 //! The processes of a gateway exchange their lists over a socket `endpoints-ADDRESS` in `$TMPDIR`: a line of JSON as the
 //! header of a list or change, and one line for each of its entries.
 
+use crate::rig::client::{operator_get, Client};
 use crate::rig::deployment::Deployment;
 use crate::rig::discovery_agent::{DiscoveryAgent, WatchFault};
 use crate::rig::endpoint::{Endpoint, EndpointStatus};
@@ -25,6 +26,8 @@
 const SAMPLE_SIZE: usize = 12;
 /// Time that the slower server of a pair takes for a response.
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(30);
+/// Requests that the quota of a test allows, in a time that it does not reach the end of.
+const QUOTA: u32 = 4;
 /// Number of servers of the largest fleet that the operators name.
 const LARGE_FLEET: usize = 3_200;
 
@@ -153,6 +156,77 @@
     wait_until_only_used(&third, "first");
 }
 
+/// Guards against an upgrade after one whose new process was killed: the old process serves on, but the sockets at which
+/// its next successor finds it had been replaced, so that neither quotas nor the list nor the listener were handed over.
+#[test]
+fn predecessor_hands_over_again_after_its_successor_was_killed() {
+    let servers = ServerPair::start();
+    let folder = TemporaryFolder::create();
+    let deployment =
+        Deployment::new(servers.endpoints()).token_bucket(0.001, QUOTA as f64).operator_interface();
+    let (old, successor) = start_in(deployment, &folder);
+    let old_operators = old.operator_address();
+    let killed = successor.start();
+    killed.kill();
+    old.wait_for_log("continuing to accept clients");
+    let mut client = old.connect();
+    let is_refused = |client: &mut Client| client.call(&idempotent_request()).status() == 429;
+    assert!((0..=QUOTA).any(|_| is_refused(&mut client)), "the quota is not spent");
+    let third = successor.start();
+    assert!(is_refused(&mut third.connect()), "the quota of the predecessor is granted again");
+    let accepts = |operators| operator_get(operators, "/admin/health").status() == 200;
+    assert!(accepts(third.operator_address()));
+    assert!(!accepts(old_operators), "two processes accept clients");
+}
+
+/// Guards against the first process of a series that accepts clients beside the third one once the second has ended, takes
+/// its successor from it, and shuts down their common listener at its end.
+#[test]
+fn first_process_of_a_series_leaves_the_clients_to_the_third() {
+    for is_stopped in [true, false] {
+        let servers = ServerPair::start();
+        let folder = TemporaryFolder::create();
+        let (first, successor) = start_in(Deployment::new(servers.endpoints()).operator_interface(), &folder);
+        let operators = first.operator_address();
+        let second = successor.start();
+        let third = successor.start();
+        if is_stopped {
+            second.terminate();
+            assert!(second.wait().success());
+        } else {
+            second.kill();
+        }
+        first.wait_for_log("the successor has been replaced in turn");
+        assert_eq!(operator_get(operators, "/admin/health").status(), 503);
+        first.terminate();
+        assert!(first.wait().success());
+        successor.agent.publish(vec![servers.first_as(EndpointStatus::Draining)]);
+        successor.agent.inject(WatchFault::Down);
+        let fourth = successor.start();
+        third.kill();
+        assert_eq!(servers_used_by(&fourth), ["second"]);
+    }
+}
+
+/// Guards against a series whose last process is killed while the first one, which has to resume, waits for another.
+#[test]
+fn first_process_of_a_series_resumes_when_the_others_have_ended() {
+    let servers = ServerPair::start_with_slow_second();
+    let folder = TemporaryFolder::create();
+    let (first, successor) = start_in(Deployment::new(servers.endpoints()), &folder);
+    let second = successor.start();
+    let third = successor.start();
+    second.kill();
+    first.wait_for_log("the successor has been replaced in turn");
+    third.kill();
+    first.wait_for_log("continuing to accept clients");
+    successor.agent.publish(vec![servers.first_as(EndpointStatus::Draining)]);
+    successor.agent.inject(WatchFault::Down);
+    let fourth = successor.start();
+    first.kill();
+    assert_eq!(servers_used_by(&fourth), ["second"]);
+}
+
 /// Guards against a drain that is told to one process only, since the other one's agent is down: the rules see one
 /// gateway. Both processes send requests, the predecessor on the connections that its clients keep.
 #[test]
