Play replacements of a gateway against tells and outages of discovery, by seed

Cause: no test had an outage of discovery around a replacement, so that nothing asked what the next process knows.

Change: replacement_soak draws, by seed, drains, removals and a join, an outage of 8 to 10 s that begins 0 to 3 s after the last of them, one to four replacements before, at and after both, some with a successor that is killed, and the SIGTERM of each predecessor 0 to 6 s after the yes. Beside it, ConnectionPool::update looks a complete list's servers up in a set: it compared each with each.

--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -129,7 +129,8 @@
     pub fn update(&self, is_complete: bool, endpoints: &[ListedEndpoint]) {
         let mut servers = self.servers.borrow_mut();
         if is_complete {
-            servers.retain(|id, _| endpoints.iter().any(|listed| listed.endpoint.server == *id));
+            let listed: HashSet<ServerId> = endpoints.iter().map(|listed| listed.endpoint.server).collect();
+            servers.retain(|id, _| listed.contains(id));
         }
         for listed in endpoints {
             let id = listed.endpoint.server;
--- a/crates/gateway/tests/loopback/main.rs
+++ b/crates/gateway/tests/loopback/main.rs
@@ -16,6 +16,7 @@
 mod memory_waits;
 mod ops;
 mod pausing_answers;
+mod replacement_soak;
 mod rig;
 mod servers;
 mod shutdown_deliveries;
