Share the runs of seeded tests, and drop what the exchange of lists does not need

Change: rig::seeded_runs serves both soaks, rig::accept both kinds of listener, EndpointExchange::receive takes any reader, apply_discovered returns nothing, and a process that is followed is logged once. Tests and seeds are the same.

--- a/crates/gateway/src/control/current_list.rs
+++ b/crates/gateway/src/control/current_list.rs
@@ -125,13 +125,13 @@
         self.state.get().revision
     }
 
-    /// Applies an answer of discovery to a call that was made at a revision of the list. Returns false if the list of
-    /// another process has been adopted since, which the answer does not replace.
-    pub fn apply_discovered(&self, agent: SocketAddr, list: EndpointList, called_at_revision: u64) -> bool {
+    /// Applies an answer of discovery to a call that was made at a revision of the list, unless the list of another
+    /// process has been adopted since, which the answer does not replace.
+    pub fn apply_discovered(&self, agent: SocketAddr, list: EndpointList, called_at_revision: u64) {
         let state = self.state.get();
         let is_superseded = state.agent != agent || state.version > list.version;
         if state.revision != called_at_revision && is_superseded {
-            return false;
+            return;
         }
         let header = UpdateHeader {
             agent,
@@ -143,7 +143,6 @@
         };
         let watch_event = if list.is_snapshot { WatchEvent::Snapshot } else { WatchEvent::Delta };
         self.apply(ListUpdate { header, endpoints: list.endpoints }, watch_event, None);
-        true
     }
 
     /// Tells the decision core of a failed call to discovery.
--- a/crates/gateway/src/lifecycle/endpoint_exchange.rs
+++ b/crates/gateway/src/lifecycle/endpoint_exchange.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{split, ReadHalf, WriteHalf};
+use tokio::io::{split, AsyncRead, WriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::broadcast::{error::RecvError, Receiver};
 use tokio::sync::{oneshot, watch};
@@ -26,9 +26,6 @@
 /// from then on.
 const INITIAL_LIST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A connection to another process.
-type Connection = Socket<UnixStream>;
-
 /// Returns the path of the socket of the gateway that listens at an address, or `None` without `$TMPDIR`.
 pub fn socket_path(listen: SocketAddr) -> Option<PathBuf> {
     takeover::socket_path("endpoints", listen)
@@ -71,8 +68,8 @@
 
     /// Uses the lists that a process tells to which the successor of this one has handed over, until it ends.
     pub async fn follow(&self, stream: UnixStream) {
-        let (reading, _writing) = split(Socket::new(stream));
-        let result = self.receive(reading, HandoverRole::Successor, self.next_number(), None).await;
+        let stream = Socket::new(stream);
+        let result = self.receive(stream, HandoverRole::Successor, self.next_number(), None).await;
         log_end(result, HandoverRole::Successor);
     }
 
@@ -109,7 +106,7 @@
     /// Adopts the lists of another process that are newer than the current one.
     async fn receive(
         &self,
-        stream: ReadHalf<Connection>,
+        stream: impl AsyncRead + Unpin,
         other: HandoverRole,
         connection: ConnectionNumber,
         mut initial_list: Option<oneshot::Sender<()>>,
@@ -144,7 +141,7 @@
     /// change.
     async fn send(
         &self,
-        mut stream: WriteHalf<Connection>,
+        mut stream: WriteHalf<Socket<UnixStream>>,
         mut changes: Receiver<ListChange>,
         other: HandoverRole,
         connection: ConnectionNumber,
--- a/crates/gateway/src/lifecycle/successor_listeners.rs
+++ b/crates/gateway/src/lifecycle/successor_listeners.rs
@@ -56,6 +56,7 @@
     /// Takes the sockets back after the successor, whose process id is `ended`, no longer serves. While a further process
     /// serves, to which the successor has handed over in turn, waits for its end and uses the lists that it tells.
     pub async fn reclaim(&mut self, ended: Option<u32>) {
+        let mut followed = None;
         while let Some(stream) = endpoint_exchange::connect(self.listen).await {
             let process = takeover::peer_process(&stream);
             if process == Some(std::process::id()) {
@@ -64,7 +65,10 @@
             if process.is_none() || process == ended {
                 break;
             }
-            info!(process, "the successor has been replaced in turn; not accepting clients");
+            if followed != process {
+                info!(process, "the successor has been replaced in turn; not accepting clients");
+                followed = process;
+            }
             self.endpoints.follow(stream).await;
             sleep(RECONNECT_DELAY).await;
         }
--- a/crates/gateway/tests/loopback/endpoint_handover.rs
+++ b/crates/gateway/tests/loopback/endpoint_handover.rs
@@ -3,6 +3,7 @@
 //! The processes of a gateway exchange their lists over a socket `endpoints-ADDRESS` in `$TMPDIR`: a line of JSON as the
 //! header of a list or change, and one line for each of its entries.
 
+use crate::rig::accept::accept_process;
 use crate::rig::client::{operator_get, Client};
 use crate::rig::deployment::Deployment;
 use crate::rig::discovery_agent::{DiscoveryAgent, WatchFault};
@@ -13,7 +14,7 @@
 use crate::rig::server::{Reply, Server};
 use crate::rig::EVENT_TIMEOUT;
 use serde_json::json;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
@@ -320,22 +321,6 @@
     assert_eq!(servers_used_by(&new), ["second"]);
 }
 
-/// Waits for a process to connect to a listener, which does not block.
-fn accept_in_time(listener: &UnixListener) -> UnixStream {
-    let deadline = Instant::now() + EVENT_TIMEOUT;
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(false).unwrap();
-                return stream;
-            }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => thread::sleep(Duration::from_millis(1)),
-            Err(error) => panic!("no process connects: {error}"),
-        }
-        assert!(Instant::now() < deadline, "no process connects");
-    }
-}
-
 /// What a predecessor may send instead of its list.
 fn malformed_lists() -> Vec<(&'static str, String)> {
     let header = |agent: &str, count: usize| {
@@ -370,9 +355,8 @@
             let listener =
                 UnixListener::bind(exchange_path(&folder, "127.0.0.1:0".parse().unwrap())).unwrap();
             let text = text.clone();
-            listener.set_nonblocking(true).unwrap();
             let predecessor = thread::spawn(move || {
-                let mut stream = accept_in_time(&listener);
+                let mut stream = accept_process(&listener);
                 let _ = stream.write_all(text.as_bytes());
                 stays_open.then_some(stream)
             });
--- a/crates/gateway/tests/loopback/replacement_soak.rs
+++ b/crates/gateway/tests/loopback/replacement_soak.rs
@@ -10,6 +10,7 @@
 use crate::rig::files::TemporaryFolder;
 use crate::rig::gateway_process::GatewayProcess;
 use crate::rig::request::idempotent_request;
+use crate::rig::seeded_runs::check_seeds;
 use crate::rig::server::{Reply, Server};
 use fastrand::Rng;
 use std::net::SocketAddr;
@@ -341,33 +342,13 @@
     }
 }
 
-/// Returns the seeds to run from `REPLACEMENT_SEEDS`, or the default seeds.
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(text) = std::env::var("REPLACEMENT_SEEDS") else { return DEFAULT_SEEDS };
-    let (from, to) = text.split_once('-').unwrap_or((&text, &text));
-    from.parse().expect("the first seed in REPLACEMENT_SEEDS is a number")
-        ..=to.parse().expect("the last seed in REPLACEMENT_SEEDS is a number")
-}
-
 /// Guards against what one process was told, and the next one, or the other one of a hand-over, does not know: attempts at
 /// servers that drain or are gone, servers that are not used, and requests that are lost, at any time of a replacement.
 #[test]
 fn what_discovery_tells_holds_through_replacements() {
-    let seeds = Mutex::new(seeds());
-    let next_seed = || seeds.lock().unwrap().next();
-    let all_violations = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..PARALLEL_RUNS {
-            scope.spawn(|| {
-                while let Some(seed) = next_seed() {
-                    let violations = Run::prepare(seed).run();
-                    eprintln!("replacement seed {seed}: {violations:?}");
-                    let labeled = violations.into_iter().map(|violation| format!("seed {seed}: {violation}"));
-                    all_violations.lock().unwrap().extend(labeled);
-                }
-            });
-        }
+    check_seeds("REPLACEMENT_SEEDS", DEFAULT_SEEDS, PARALLEL_RUNS, |seed| {
+        let violations = Run::prepare(seed).run();
+        eprintln!("replacement seed {seed}: {violations:?}");
+        violations
     });
-    let all_violations = all_violations.into_inner().unwrap();
-    assert!(all_violations.is_empty(), "{}", all_violations.join("\n"));
 }
--- a/crates/gateway/tests/loopback/rig/mod.rs
+++ b/crates/gateway/tests/loopback/rig/mod.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod received_answer;
 pub mod request;
+pub mod seeded_runs;
 pub mod server;
 mod settings;
 pub mod timestamped_stream;
--- a/crates/gateway/tests/loopback/soak/mod.rs
+++ b/crates/gateway/tests/loopback/soak/mod.rs
@@ -17,6 +17,7 @@
 use crate::rig::discovery_agent::WatchFault;
 use crate::rig::endpoint::{Endpoint, EndpointStatus};
 use crate::rig::gateway_process::GatewayProcess;
+use crate::rig::seeded_runs::check_seeds;
 use checks::violations;
 use client::SoakClient;
 use fastrand::Rng;
@@ -26,7 +27,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -211,33 +212,10 @@
     }
 }
 
-/// Returns the seeds to run from `SOAK_SEEDS`, or the default seeds.
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else { return DEFAULT_SEEDS };
-    let (from, to) = text.split_once('-').unwrap_or((&text, &text));
-    from.parse().expect("the first seed in SOAK_SEEDS is a number")
-        ..=to.parse().expect("the last seed in SOAK_SEEDS is a number")
-}
-
 /// Guards against lost, duplicate or wrongly rejected requests, excessive forwarded timeouts and attempts at
 /// draining servers while system calls, clients and servers fail. Runs all seeds before it reports the
 /// violations.
 #[test]
 fn requirements_hold_under_failing_system_calls_signals_and_misbehaving_peers() {
-    let seeds = Mutex::new(seeds());
-    let next_seed = || seeds.lock().unwrap().next();
-    let all_violations = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..PARALLEL_RUNS {
-            scope.spawn(|| {
-                while let Some(seed) = next_seed() {
-                    let violations = SoakRun::prepare(seed).run(seed);
-                    let labeled = violations.into_iter().map(|violation| format!("seed {seed}: {violation}"));
-                    all_violations.lock().unwrap().extend(labeled);
-                }
-            });
-        }
-    });
-    let all_violations = all_violations.into_inner().unwrap();
-    assert!(all_violations.is_empty(), "{}", all_violations.join("\n"));
+    check_seeds("SOAK_SEEDS", DEFAULT_SEEDS, PARALLEL_RUNS, |seed| SoakRun::prepare(seed).run(seed));
 }
